--- /dev/null
+++ b/basilgate/admin.py
@@ -0,0 +1,89 @@
+"""HTTP interface of a balancer: metrics, health, status, and explanations."""
+
+import collections.abc
+import typing
+
+import aioprometheus.renderer
+import starlette.applications
+import starlette.requests
+import starlette.responses
+import starlette.routing
+import uvicorn
+
+from basilgate import metrics
+
+Query = collections.abc.Callable[[dict[str, str]], dict[str, typing.Any]]
+
+
+def application(
+    queries: collections.abc.Mapping[str, Query],
+    is_healthy: collections.abc.Callable[[], bool],
+) -> starlette.applications.Starlette:
+    """Return the application.
+
+    Parameters
+    ----------
+    queries : mapping
+        Functions that answer ``GET /<name>`` from its query parameters.
+    is_healthy : callable
+        Whether this host serves; `/health` answers 200 or 503.
+    """
+
+    async def serve_metrics(
+        request: starlette.requests.Request,
+    ) -> starlette.responses.Response:
+        accepts = request.headers.getlist("accept")
+        content, headers = aioprometheus.renderer.render(metrics.REGISTRY, accepts)
+        return starlette.responses.Response(content, headers=headers)
+
+    async def serve_health(
+        request: starlette.requests.Request,
+    ) -> starlette.responses.Response:
+        del request
+        healthy = is_healthy()
+        return starlette.responses.JSONResponse(
+            {"healthy": healthy}, status_code=200 if healthy else 503
+        )
+
+    def endpoint(query: Query) -> typing.Any:
+        async def serve(
+            request: starlette.requests.Request,
+        ) -> starlette.responses.Response:
+            return starlette.responses.JSONResponse(query(dict(request.query_params)))
+
+        return serve
+
+    routes = [
+        starlette.routing.Route("/metrics", serve_metrics),
+        starlette.routing.Route("/health", serve_health),
+    ]
+    routes += [
+        starlette.routing.Route(f"/{name}", endpoint(query))
+        for name, query in queries.items()
+    ]
+    return starlette.applications.Starlette(routes=routes)
+
+
+class Server(uvicorn.Server):
+    """Server that leaves the process's signal handlers alone."""
+
+    def capture_signals(self) -> typing.Any:
+        """Do nothing: the balancer handles signals itself."""
+        import contextlib
+
+        return contextlib.nullcontext()
+
+
+async def serve(
+    app: starlette.applications.Starlette, address: tuple[str, int]
+) -> None:
+    """Serve the application until cancelled."""
+    config = uvicorn.Config(
+        app,
+        host=address[0],
+        port=address[1],
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+    )
+    await Server(config).serve()
--- /dev/null
+++ b/basilgate/balancer.py
@@ -0,0 +1,654 @@
+"""Balancer process of one entry host: sockets, dispatch, and shutdown."""
+
+import datetime
+import pathlib
+import random
+import signal
+import sys
+import time
+import typing
+
+import anyio
+import anyio.abc
+import anyio.streams.buffered
+import fire
+import fire.decorators
+import logbook
+from returns import result
+
+from basilgate import (
+    admin,
+    configsync,
+    datagrams,
+    effective,
+    errors,
+    home,
+    homes,
+    logs,
+    membership,
+    metrics,
+    objects,
+    opening,
+    peering,
+    placement,
+    platformapi,
+    queueing,
+    reasons,
+    rendezvous,
+    replica,
+    settings,
+    tokens,
+    wire,
+)
+from peerproto import ttypes
+
+LOGGER = logbook.Logger("balancer")
+
+RELAY_PLACED = 1
+RELAY_TO_FORMER = 2
+
+UPKEEP_S = 1.0
+PING_INTERVAL_S = 1.0
+DOMAIN_UNREACHABLE_S = 3.0
+STOP_POLL_S = 0.1
+
+
+class Balancer:
+    """All parts of a balancer, wired together.
+
+    Parameters
+    ----------
+    config : settings.Settings
+        Checked settings.
+    socket_factory : callable
+        Opens the UDP sockets; stand-ins for faulty networks replace it.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        socket_factory: datagrams.Factory = datagrams.open_socket,
+    ) -> None:
+        self.settings = config
+        self.socket_factory = socket_factory
+        self.codec = peering.Codec(bytes.fromhex(config.peers.secret))
+        self.ring = tokens.KeyRing()
+        self.store = replica.Replica()
+        self.effective = effective.EffectiveConfig()
+        self.parts: list[objects.SheetPart] = []
+        self.rng = random.Random(time.time_ns())
+        self.callers: datagrams.DatagramSocket
+        self.peers: datagrams.DatagramSocket
+        self.platform = platformapi.PlatformClient(
+            str(config.platform.url),
+            config.platform.call_budget,
+            config.platform.timeout_s,
+            settings.split_address(config.listen.peers)[0],
+        )
+        me = objects.Member(
+            host=config.host.name,
+            incarnation=membership.new_incarnation(),
+            callers=config.listen.callers,
+            peers=config.listen.peers,
+            admin=config.listen.admin,
+        )
+        self.members = membership.Membership(
+            me,
+            config.host.failure_domain,
+            self.store,
+            self.platform,
+            self.codec,
+            self.send_to_peer,
+        )
+        context = home.Context(
+            send=self.send_to_caller,
+            lease_until=self.members.lease_until,
+            retry=self.retry,
+            report=self.report,
+            make_queue=queueing.POLICIES.get(config.policies.queueing),
+            max_deadline_s=config.limits.max_deadline_s,
+            max_answer_bytes=config.limits.max_answer_bytes,
+            flow_idle_s=config.limits.flow_idle_s,
+        )
+        self.homes = homes.Homes(self.members, context, self.codec)
+        self.opener = opening.Opener(
+            self.members,
+            self.homes,
+            self.store,
+            self.ring,
+            placement.POLICIES.get(config.policies.placement),
+            config.limits.token_lifetime_s,
+        )
+        self.opener.is_reachable = self.is_reachable
+        self.members.loads = self.homes.loads
+        self.members.on_change = self.on_view_change
+        self.sync = configsync.ConfigSync(
+            self.store,
+            self.platform,
+            self.members,
+            self.codec,
+            configsync.addresses(config.peers.seeds),
+            config.platform.watch_timeout_s,
+        )
+        self.store.subscribe(self.on_object)
+        # Monotonic time until which each other domain counts as reachable.
+        self.reachable_until: dict[str, float] = {}
+
+    # Configuration.
+
+    def on_object(self, stored: objects.StoredObject) -> None:
+        """Bring an applied object into force."""
+        if stored.name.startswith(objects.KEY_PREFIX):
+            self.load_keys()
+        elif stored.name.startswith(objects.VIEW_PREFIX):
+            return
+        else:
+            self.load_config()
+
+    def load_keys(self) -> None:
+        """Take the token keys from the replica."""
+        held = self.store.under(objects.KEY_PREFIX).values()
+        keys = [key for key in held if isinstance(key, objects.Key)]
+        for key in keys:
+            self.ring.add(key.id, bytes.fromhex(key.secret))
+        self.ring.retain({key.id for key in keys})
+
+    def load_config(self) -> None:
+        """Merge sheet and overrides; an incomplete sheet changes nothing."""
+        sheet, parts = effective.sheet_parts(self.store)
+        if sheet is not None:
+            self.parts = parts
+        overrides = [
+            value
+            for value in self.store.under(objects.OVERRIDE_PREFIX).values()
+            if isinstance(value, objects.Override)
+        ]
+        now = datetime.datetime.now(datetime.UTC)
+        self.effective = effective.merge(self.parts, overrides, now)
+        self.opener.config = self.effective
+        self.homes.reassign(self.effective)
+
+    def on_view_change(self) -> None:
+        """Follow a change of the domain view."""
+        self.homes.reassign(self.effective)
+
+    # Sockets.
+
+    async def send_to_caller(self, frame: wire.Frame, caller: wire.Address) -> None:
+        """Send a frame to a caller."""
+        await self.callers.sendto(wire.encode(frame), *caller)
+
+    async def send_to_peer(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram to another balancer."""
+        await self.peers.sendto(datagram, *address)
+
+    async def serve_callers(self) -> None:
+        """Handle the datagrams that come from the fabric."""
+        while True:
+            datagram, caller = await self.callers.receive()
+            decoded = wire.decode(datagram)
+            if isinstance(decoded, result.Failure):
+                drop(decoded.failure())
+                continue
+            frame = decoded.unwrap()
+            metrics.FRAMES.inc({"kind": frame.kind.name.lower()})
+            await self.route(frame, datagram, caller, hops=0, flags=0)
+
+    async def serve_peers(self) -> None:
+        """Handle the datagrams that come from other balancers."""
+        while True:
+            datagram, address = await self.peers.receive()
+            magic = int.from_bytes(datagram[:2], "big")
+            if magic == wire.RELAY_MAGIC:
+                await self.on_relayed(datagram)
+            elif magic == peering.CONTROL_MAGIC:
+                await self.on_control(datagram, address)
+            else:
+                drop(reasons.Reason.MALFORMED)
+
+    async def on_relayed(self, datagram: bytes) -> None:
+        """Handle a caller's frame that another balancer passed on."""
+        opened = peering.open_relayed(self.codec, datagram)
+        if isinstance(opened, result.Failure):
+            drop(opened.failure())
+            return
+        relayed = opened.unwrap()
+        decoded = wire.decode(relayed.frame)
+        if isinstance(decoded, result.Failure):
+            drop(decoded.failure())
+            return
+        await self.route(
+            decoded.unwrap(),
+            relayed.frame,
+            relayed.caller,
+            relayed.hops,
+            relayed.flags,
+        )
+
+    async def relay(
+        self,
+        member: objects.Member,
+        datagram: bytes,
+        caller: wire.Address,
+        hops: int,
+        flags: int = 0,
+    ) -> None:
+        """Pass a caller's frame to another balancer."""
+        if hops >= wire.MAX_HOPS:
+            drop(reasons.Reason.TOO_MANY_HOPS)
+            return
+        relayed = wire.Relayed(hops + 1, flags, caller, 0, datagram)
+        metrics.RELAYED.inc({})
+        await self.send_to_peer(
+            peering.seal_relayed(self.codec, relayed),
+            settings.split_address(member.peers),
+        )
+
+    # Routing of callers' frames.
+
+    async def route(
+        self,
+        frame: wire.Frame,
+        datagram: bytes,
+        caller: wire.Address,
+        hops: int,
+        flags: int,
+    ) -> None:
+        """Bring a frame to the owner of the open or to the target's home."""
+        if frame.kind is wire.Kind.OPEN and not flags & RELAY_PLACED:
+            await self.on_open(frame, datagram, caller, hops)
+            return
+        verified = tokens.verify(
+            self.ring, frame.token, frame.flow, frame.service, time.time()
+        )
+        if isinstance(verified, result.Failure):
+            drop(verified.failure())
+            return
+        target = self.effective.targets.get(verified.unwrap().target)
+        if target is None:
+            drop(reasons.Reason.NO_TARGET)
+            return
+        if target.service != frame.service:
+            drop(reasons.Reason.TOKEN_WRONG_SERVICE)
+            return
+        if flags & RELAY_TO_FORMER:
+            drop(await self.homes.on_left_frame(target.id, frame, caller))
+            return
+        member = self.home_of(target)
+        if member is None:
+            drop(reasons.Reason.NO_HOME)
+        elif member == self.members.me:
+            await self.serve(target, frame, datagram, caller, hops)
+        else:
+            await self.relay(member, datagram, caller, hops, flags)
+
+    def home_of(self, target: effective.Target) -> objects.Member | None:
+        """Return the home of a target in any failure domain."""
+        if target.domain == self.members.domain:
+            return self.members.home_of(target.id)
+        view = self.store.parsed.get(objects.VIEW_PREFIX + target.domain)
+        if not isinstance(view, objects.View):
+            return None
+        by_host = {member.host: member for member in view.members}
+        name = rendezvous.pick(target.id, by_host)
+        return by_host[name] if name is not None else None
+
+    async def serve(
+        self,
+        target: effective.Target,
+        frame: wire.Frame,
+        datagram: bytes,
+        caller: wire.Address,
+        hops: int,
+    ) -> None:
+        """Handle a frame at the target's home, which is this host."""
+        entry = self.homes.homes.get(target.id)
+        if entry is None:
+            drop(reasons.Reason.NO_HOME)
+            return
+        if frame.kind is wire.Kind.OPEN:
+            await self.admit(entry, frame, caller)
+            return
+        if frame.kind is wire.Kind.KEEPALIVE:
+            entry.touch_flow(frame.flow)
+            alive = wire.Frame(
+                wire.Kind.ALIVE,
+                frame.service,
+                frame.flow,
+                token=self.opener.mint(target, frame.flow),
+            )
+            await self.send_to_caller(alive, caller)
+            return
+        former = self.homes.former_of(target.id, frame)
+        member = self.members.members().get(former) if former else None
+        if member is not None and member != self.members.me:
+            await self.relay(member, datagram, caller, hops, RELAY_TO_FORMER)
+            return
+        drop(await entry.on_frame(frame, caller))
+
+    # Opens.
+
+    async def on_open(
+        self, frame: wire.Frame, datagram: bytes, caller: wire.Address, hops: int
+    ) -> None:
+        """Place an open, or pass it to the host that does."""
+        if frame.service not in self.effective.services:
+            if self.effective.services:
+                await self.refuse_open(frame, caller, reasons.Reason.NO_SUCH_SERVICE)
+            return
+        domain = self.opener.domain_for(frame)
+        if domain is None:
+            await self.refuse_open(frame, caller, reasons.Reason.NO_TARGET)
+            return
+        owner = self.opener.owner_in(domain, frame.flow)
+        if owner is None:
+            drop(reasons.Reason.NO_HOME)
+        elif owner == self.members.me or hops >= wire.MAX_HOPS - 1:
+            await self.place(frame, caller, hops)
+        else:
+            await self.relay(owner, datagram, caller, hops)
+
+    async def place(self, frame: wire.Frame, caller: wire.Address, hops: int) -> None:
+        """Place a flow as its owner and bring it to the target's home."""
+        decided = self.opener.decide(frame)
+        if isinstance(decided, result.Failure):
+            await self.refuse_open(frame, caller, decided.failure())
+            return
+        opened = decided.unwrap()
+        frame.token = opened.token
+        target = self.effective.targets.get(opened.target)
+        member = self.home_of(target) if target is not None else None
+        if target is None or member is None:
+            await self.refuse_open(frame, caller, reasons.Reason.NO_TARGET)
+        elif member == self.members.me:
+            await self.serve(target, frame, wire.encode(frame), caller, hops)
+        else:
+            await self.relay(member, wire.encode(frame), caller, hops, RELAY_PLACED)
+
+    async def admit(
+        self, entry: home.Home, frame: wire.Frame, caller: wire.Address
+    ) -> None:
+        """Count a placed flow at its target's home and confirm it."""
+        refused = entry.admit_flow(frame.flow)
+        if refused is not reasons.Reason.NONE:
+            await self.refuse_open(frame, caller, refused)
+            return
+        metrics.OPENS.inc({"service": entry.service.name, "outcome": "opened"})
+        opened = wire.Frame(
+            wire.Kind.OPENED, frame.service, frame.flow, token=frame.token
+        )
+        await self.send_to_caller(opened, caller)
+
+    async def refuse_open(
+        self, frame: wire.Frame, caller: wire.Address, reason: reasons.Reason
+    ) -> None:
+        """Tell a caller that its flow was not opened."""
+        service = self.effective.services.get(frame.service)
+        label = service.name if service is not None else "none"
+        metrics.OPENS.inc({"service": label, "outcome": reasons.label(reason)})
+        refused = wire.Frame(
+            wire.Kind.REFUSED, frame.service, frame.flow, reason=int(reason)
+        )
+        await self.send_to_caller(refused, caller)
+
+    # Hooks of the homes.
+
+    async def retry(self, entry: home.Home, record: home.Record) -> bool:
+        """Try an idempotent request at another target; not done so far."""
+        del entry, record
+        return False
+
+    async def report(self, entry: home.Home, record: home.Record) -> None:
+        """Tell a target's new home about the end of a request."""
+        await self.homes.report(entry, record)
+
+    # Control messages.
+
+    async def on_control(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Handle a control message that came as a datagram."""
+        decoded = self.codec.decode(datagram)
+        if isinstance(decoded, result.Failure):
+            drop(decoded.failure())
+            return
+        field, message = decoded.unwrap()
+        if field == "heartbeat":
+            refused = self.members.on_heartbeat(message, address)
+            if refused is not None:
+                drop(refused)
+                return
+            self.opener.on_loads(message.loads or [])
+        elif field == "view_changed":
+            self.members.on_view_changed(message)
+        elif field == "domain_ping":
+            await self.on_ping(message, address)
+        else:
+            drop(reasons.Reason.UNEXPECTED_KIND)
+
+    async def on_ping(self, message: typing.Any, address: tuple[str, int]) -> None:
+        """Note that another domain is reachable, and answer."""
+        now = anyio.current_time()
+        self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
+        if message.config_digest != self.store.digest:
+            self.sync.behind.add(address)
+        if message.reply_wanted:
+            await self.send_to_peer(self.ping(reply_wanted=False), address)
+
+    def ping(self, reply_wanted: bool) -> bytes:
+        """Return a ping to another failure domain."""
+        message = ttypes.DomainPing(
+            self.members.me.host,
+            self.members.domain,
+            self.members.me.incarnation,
+            self.store.revision,
+            self.store.digest,
+            reply_wanted,
+        )
+        return self.codec.encode("domain_ping", message)
+
+    async def ping_domains(self) -> None:
+        """Ping one random member of each other domain."""
+        while True:
+            for name, view in self.store.under(objects.VIEW_PREFIX).items():
+                if name == self.members.view_name or not isinstance(view, objects.View):
+                    continue
+                if view.members:
+                    member = self.rng.choice(view.members)
+                    address = settings.split_address(member.peers)
+                    await self.send_to_peer(self.ping(reply_wanted=True), address)
+            await anyio.sleep(PING_INTERVAL_S)
+
+    def is_reachable(self, domain: str) -> bool:
+        """Tell whether a failure domain has answered lately."""
+        if domain == self.members.domain:
+            return True
+        return self.reachable_until.get(domain, 0.0) > anyio.current_time()
+
+    async def serve_call(self, stream: anyio.abc.SocketStream) -> None:
+        """Answer one call of a peer over TCP."""
+        reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
+        async with stream:
+            with anyio.move_on_after(peering.CALL_TIMEOUT_S):
+                try:
+                    decoded = self.codec.decode(await peering.receive_stream(reader))
+                    if isinstance(decoded, result.Failure):
+                        drop(decoded.failure())
+                        return
+                    reply = await self.answer_call(*decoded.unwrap())
+                    await peering.send_stream(stream, self.codec.encode(*reply))
+                except (
+                    OSError,
+                    ValueError,
+                    anyio.EndOfStream,
+                    anyio.IncompleteRead,
+                    anyio.BrokenResourceError,
+                ):
+                    drop(reasons.Reason.MALFORMED)
+
+    async def answer_call(
+        self, field: str, message: typing.Any
+    ) -> tuple[str, typing.Any]:
+        """Return the answer to a call of a peer."""
+        if field == "sync_request":
+            return "sync_reply", configsync.sync_reply(self.store, message)
+        refused = reasons.Reason.UNEXPECTED_KIND
+        if field == "handover":
+            refused = await self.homes.on_handover(message)
+        elif field == "completion":
+            refused = self.homes.on_completion(message)
+        if refused is not reasons.Reason.NONE:
+            drop(refused)
+        return "acknowledgement", ttypes.Acknowledgement(
+            refused is reasons.Reason.NONE, int(refused)
+        )
+
+    # Queries.
+
+    def status(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
+        """Return what this host knows of itself and its domain."""
+        del parameters
+        view = self.members.view
+        return {
+            "host": self.members.me.host,
+            "incarnation": self.members.me.incarnation,
+            "failure_domain": self.members.domain,
+            "epoch": self.members.epoch,
+            "member": self.members.is_member(),
+            "leaving": self.members.leaving,
+            "revision": self.store.revision,
+            "digest": self.store.digest,
+            "members": [m.host for m in view.members] if view is not None else [],
+            "peers": {
+                name: {
+                    "revision": peer.config_revision,
+                    "digest": peer.config_digest,
+                    "alive": self.members.is_alive(name),
+                }
+                for name, peer in self.members.peers.items()
+            },
+            "configured": bool(self.effective.services and self.ring.keys),
+            "homes_waiting": sum(
+                bool(entry.awaiting_from or not entry.has_authority())
+                for entry in self.homes.homes.values()
+            ),
+            "homes": {
+                entry.target.name: {
+                    "flows": len(entry.flows),
+                    "running": len(entry.running),
+                    "queued": len(entry.queue),
+                    "healthy": entry.healthy,
+                }
+                for entry in self.homes.homes.values()
+            },
+        }
+
+    # Life.
+
+    async def upkeep(self) -> None:
+        """Do what is due every second."""
+        while True:
+            await anyio.sleep(UPKEEP_S)
+            self.opener.forget()
+            expiry = self.effective.next_expiry_s
+            if expiry is not None and expiry <= time.time():
+                self.load_config()
+
+    async def run(self) -> None:
+        """Serve until a signal asks this process to stop."""
+        listen = self.settings.listen
+        self.callers = await self.socket_factory(settings.split_address(listen.callers))
+        self.peers = await self.socket_factory(settings.split_address(listen.peers))
+        calls_address = settings.split_address(listen.peers)
+        calls = await anyio.create_tcp_listener(
+            local_host=calls_address[0], local_port=calls_address[1]
+        )
+        application = admin.application({"status": self.status}, lambda: True)
+        async with self.platform, anyio.create_task_group() as tasks:
+            self.homes.tasks = tasks
+            tasks.start_soon(self.serve_callers)
+            tasks.start_soon(self.serve_peers)
+            tasks.start_soon(calls.serve, self.serve_call)
+            tasks.start_soon(
+                admin.serve, application, settings.split_address(listen.admin)
+            )
+            tasks.start_soon(self.sync.run)
+            tasks.start_soon(self.members.run)
+            tasks.start_soon(self.ping_domains)
+            tasks.start_soon(self.upkeep)
+            logs.event(LOGGER.info, "started", incarnation=self.members.me.incarnation)
+            await wait_for_signal()
+            await self.stop()
+            tasks.cancel_scope.cancel()
+        logs.event(LOGGER.info, "stopped")
+
+    async def stop(self) -> None:
+        """Hand over every target and answer what is in flight."""
+        logs.event(LOGGER.info, "stopping")
+        stop_at = anyio.current_time() + self.settings.limits.max_deadline_s
+        self.members.leaving = True
+        for peer in list(self.members.peers.values()):
+            await self.members.send_heartbeat(peer)
+        self.on_view_change()
+        while anyio.current_time() < stop_at:
+            alone = not self.members.staying()
+            if self.homes.is_idle() and (alone or not self.homes.homes):
+                break
+            await anyio.sleep(STOP_POLL_S)
+        await self.members.leave()
+
+
+def drop(reason: reasons.Reason) -> None:
+    """Count a datagram that is not served; NONE stands for one that was."""
+    if reason is not reasons.Reason.NONE:
+        metrics.DROPPED.inc({"reason": reasons.label(reason)})
+
+
+async def wait_for_signal() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+@fire.decorators.SetParseFn(str)
+def serve(settings_file: str) -> None:
+    """Run the balancer of one entry host until SIGTERM.
+
+    Parameters
+    ----------
+    settings_file : str
+        Path of the INI file with the settings.
+    """
+    sys.exit(run_process(settings_file))
+
+
+def run_process(
+    settings_file: str, socket_factory: datagrams.Factory = datagrams.open_socket
+) -> int:
+    """Run a balancer and return the exit status: 2 for wrong settings."""
+    loaded = settings.load(pathlib.Path(settings_file))
+    if isinstance(loaded, result.Failure):
+        print(f"{settings_file}: {loaded.failure()}", file=sys.stderr)
+        return 2
+    config = loaded.unwrap()
+    logs.start(config.logging.level, host=config.host.name)
+
+    async def run() -> None:
+        await Balancer(config, socket_factory).run()
+
+    try:
+        anyio.run(run)
+    except BaseExceptionGroup as group:
+        violations = group.subgroup(errors.InvariantError)
+        if violations is None:
+            raise
+        return 70
+    return 0
+
+
+def main() -> None:
+    """Entry point of `basilgate-balancer`."""
+    fire.Fire(serve, name="basilgate-balancer")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/basilgate/client.py
@@ -0,0 +1,367 @@
+"""Library for callers: flows, requests, and their outcomes."""
+
+import dataclasses
+import random
+import time
+import types
+import typing
+
+import anyio
+import anyio.abc
+from returns import result
+
+from basilgate import datagrams, reasons, wire
+
+OPEN_RETRANSMIT_S = 0.2
+REQUEST_RETRANSMIT_S = 0.25
+PENDING_RETRANSMIT_S = 1.0
+# Lost answer pieces are asked for again after this time without progress.
+PULL_PAUSE_S = 0.05
+PULL_WINDOW = 64
+KEEPALIVE_INTERVAL_S = 20.0
+KEEPALIVE_CHECK_S = 1.0
+MAX_ATTEMPT = 255
+ACK_COPIES = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole answer to a request."""
+
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request, or the open, did not run."""
+
+    reason: reasons.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """Whether the request ran is not known; it must not be sent again blindly."""
+
+    reason: reasons.Reason
+
+
+Outcome = Answered | NotRun | Unknown
+
+
+class Transport(typing.Protocol):
+    """Way to the service's address through the fabric."""
+
+    async def send(self, datagram: bytes) -> None:
+        """Send one datagram."""
+
+    async def receive(self) -> bytes:
+        """Return the next datagram."""
+
+    async def aclose(self) -> None:
+        """Close the transport."""
+
+
+@dataclasses.dataclass(slots=True)
+class UdpTransport:
+    """Transport that sends to one address, the one of the service.
+
+    Answers are accepted from any balancer; the random flow id tells them apart.
+    """
+
+    address: tuple[str, int]
+    udp: datagrams.DatagramSocket
+
+    async def send(self, datagram: bytes) -> None:
+        """Send one datagram to the service's address."""
+        await self.udp.sendto(datagram, *self.address)
+
+    async def receive(self) -> bytes:
+        """Return the next datagram from any balancer."""
+        datagram, _ = await self.udp.receive()
+        return datagram
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        await self.udp.aclose()
+
+
+async def connect(address: tuple[str, int], local_host: str) -> "Client":
+    """Return a client of the service at `address`."""
+    udp = await datagrams.open_socket((local_host, 0))
+    return Client(UdpTransport(address, udp))
+
+
+def now_ms() -> int:
+    """Return Unix time in milliseconds."""
+    return int(time.time() * 1000)
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request on its way; `changed` is set by each frame that concerns it."""
+
+    pieces: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    expected: int = 0
+    token: bytes = wire.EMPTY_TOKEN
+    pending: bool = False
+    outcome: Outcome | None = None
+    changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def notify(self) -> None:
+        """Wake the task that waits for the outcome."""
+        self.changed.set()
+
+    async def wait(self, seconds: float) -> bool:
+        """Wait for a frame; False if none came in time."""
+        with anyio.move_on_after(seconds):
+            await self.changed.wait()
+        came = self.changed.is_set()
+        self.changed = anyio.Event()
+        return came
+
+
+class Flow:
+    """An open flow; requests may run on it side by side.
+
+    Parameters
+    ----------
+    client : Client
+        Client that opened the flow.
+    service : int
+        Service id.
+    number : int
+        Flow id.
+    token : bytes
+        Placement token from the balancer.
+    """
+
+    def __init__(self, client: "Client", service: int, number: int, token: bytes):
+        self.client = client
+        self.service = service
+        self.number = number
+        self.token = token
+        self.next_request = 1
+        self.exchanges: dict[int, Exchange] = {}
+        self.keepalive_at = anyio.current_time() + KEEPALIVE_INTERVAL_S
+
+    async def request(
+        self,
+        body: bytes,
+        deadline_ms: int,
+        idempotent: bool = False,
+        work_class: wire.WorkClass = wire.WorkClass.UNDECLARED,
+    ) -> Outcome:
+        """Send a request and return its outcome.
+
+        Parameters
+        ----------
+        body : bytes
+            At most `wire.MAX_BODY_BYTES` bytes.
+        deadline_ms : int
+            Unix time in milliseconds after which the answer is of no use.
+        idempotent : bool
+            Whether the request may run more than once.
+        work_class : wire.WorkClass
+            Expected size of the work, if the caller knows it.
+
+        Returns
+        -------
+        Answered, NotRun, or Unknown
+            Cancelling the calling task sends a cancellation to the balancer.
+        """
+        if len(body) > wire.MAX_BODY_BYTES:
+            return NotRun(reasons.Reason.REQUEST_TOO_LARGE)
+        frame = wire.Frame(
+            wire.Kind.REQUEST,
+            self.service,
+            self.number,
+            request=self.next_request,
+            flags=wire.FLAG_IDEMPOTENT if idempotent else 0,
+            work_class=work_class,
+            deadline_ms=deadline_ms,
+            body=body,
+        )
+        self.next_request += 1
+        exchange = self.exchanges[frame.request] = Exchange()
+        try:
+            return await self.converse(frame, exchange)
+        except anyio.get_cancelled_exc_class():
+            with anyio.CancelScope(shield=True):
+                await self.send(wire.Kind.CANCEL, frame.request, exchange.token)
+            raise
+        finally:
+            del self.exchanges[frame.request]
+
+    async def converse(self, frame: wire.Frame, exchange: Exchange) -> Outcome:
+        """Send a request again until its outcome or its deadline."""
+        sent = False
+        retransmit_at = anyio.current_time()
+        while exchange.outcome is None:
+            if now_ms() >= frame.deadline_ms:
+                return Unknown(reasons.Reason.DEADLINE_PASSED)
+            now = anyio.current_time()
+            if exchange.expected:
+                await self.collect(frame, exchange)
+                continue
+            if now >= retransmit_at:
+                frame.attempt = min(frame.attempt + sent, MAX_ATTEMPT)
+                sent = True
+                frame.token = self.token
+                await self.client.transport.send(wire.encode(frame))
+                pause = PENDING_RETRANSMIT_S if exchange.pending else 0.0
+                pause = max(pause, REQUEST_RETRANSMIT_S * min(2**frame.attempt, 4))
+                retransmit_at = now + pause
+            left_s = (frame.deadline_ms - now_ms()) / 1000
+            await exchange.wait(max(0.0, min(retransmit_at - now, left_s)))
+        return exchange.outcome
+
+    async def collect(self, frame: wire.Frame, exchange: Exchange) -> None:
+        """Wait for answer pieces, ask for missing ones, and acknowledge all."""
+        missing = [n for n in range(exchange.expected) if n not in exchange.pieces]
+        if not missing:
+            for _ in range(ACK_COPIES):
+                await self.send(wire.Kind.ACK, frame.request, exchange.token)
+            body = b"".join(exchange.pieces[n] for n in range(exchange.expected))
+            exchange.outcome = Answered(body)
+            return
+        if await exchange.wait(PULL_PAUSE_S) and missing[0] < len(exchange.pieces):
+            return
+        await self.pull(frame.request, exchange, missing[0])
+
+    async def pull(self, request: int, exchange: Exchange, first: int) -> None:
+        """Ask for the missing pieces in the window that starts at `first`."""
+        bitmap = 0
+        for offset in range(PULL_WINDOW):
+            piece = first + offset
+            if piece < exchange.expected and piece not in exchange.pieces:
+                bitmap |= 1 << offset
+        body = first.to_bytes(2, "big") + bitmap.to_bytes(8, "big")
+        await self.send(wire.Kind.PULL, request, exchange.token, body)
+
+    async def send(
+        self, kind: wire.Kind, request: int, token: bytes, body: bytes = b""
+    ) -> None:
+        """Send a frame about a request; its answer's token goes before the flow's."""
+        used = self.token if token == wire.EMPTY_TOKEN else token
+        frame = wire.Frame(
+            kind, self.service, self.number, request, token=used, body=body
+        )
+        await self.client.transport.send(wire.encode(frame))
+
+    async def close(self) -> None:
+        """End the flow."""
+        await self.send(wire.Kind.CLOSE, 0, wire.EMPTY_TOKEN)
+        self.client.flows.pop(self.number, None)
+
+    def on_frame(self, frame: wire.Frame) -> None:
+        """Take in a frame of this flow."""
+        if frame.kind is wire.Kind.ALIVE and frame.token != wire.EMPTY_TOKEN:
+            self.token = frame.token
+            return
+        exchange = self.exchanges.get(frame.request)
+        if exchange is None or exchange.outcome is not None:
+            return
+        reason = reasons.from_code(frame.reason)
+        if frame.kind is wire.Kind.ANSWER:
+            exchange.expected = max(frame.pieces, 1)
+            exchange.pieces[frame.piece] = frame.body
+            if frame.token != wire.EMPTY_TOKEN:
+                exchange.token = frame.token
+        elif frame.kind is wire.Kind.REFUSED:
+            exchange.outcome = NotRun(reason)
+        elif frame.kind is wire.Kind.UNKNOWN:
+            exchange.outcome = Unknown(reason)
+        elif frame.kind is wire.Kind.PENDING:
+            exchange.pending = True
+            return
+        exchange.notify()
+
+
+class Client:
+    """Caller's end of the protocol; use it as an asynchronous context manager.
+
+    Parameters
+    ----------
+    transport : Transport
+        Way to the service.
+    seed : int or None
+        Seed of the flow ids, for repeatable runs.
+    """
+
+    def __init__(self, transport: Transport, seed: int | None = None) -> None:
+        self.transport = transport
+        self.rng = random.SystemRandom() if seed is None else random.Random(seed)
+        self.flows: dict[int, Flow] = {}
+        self.opening: dict[int, Exchange] = {}
+        self.tasks: anyio.abc.TaskGroup = anyio.create_task_group()
+
+    async def __aenter__(self) -> "Client":
+        await self.tasks.__aenter__()
+        self.tasks.start_soon(self.receive)
+        self.tasks.start_soon(self.keep_alive)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self.tasks.cancel_scope.cancel()
+        await self.tasks.__aexit__(kind, error, traceback)
+        with anyio.CancelScope(shield=True):
+            await self.transport.aclose()
+
+    async def open(
+        self, service: int, deadline_ms: int
+    ) -> result.Result[Flow, reasons.Reason]:
+        """Open a flow to a service, or return the reason why there is none."""
+        number = self.rng.getrandbits(64)
+        exchange = self.opening[number] = Exchange()
+        frame = wire.Frame(wire.Kind.OPEN, service, number, deadline_ms=deadline_ms)
+        try:
+            while now_ms() < deadline_ms:
+                await self.transport.send(wire.encode(frame))
+                frame.attempt = min(frame.attempt + 1, MAX_ATTEMPT)
+                left_s = (deadline_ms - now_ms()) / 1000
+                await exchange.wait(max(0.0, min(OPEN_RETRANSMIT_S, left_s)))
+                if isinstance(exchange.outcome, NotRun):
+                    return result.Failure(exchange.outcome.reason)
+                if exchange.token != wire.EMPTY_TOKEN:
+                    flow = Flow(self, service, number, exchange.token)
+                    self.flows[number] = flow
+                    return result.Success(flow)
+            return result.Failure(reasons.Reason.NO_REPLY)
+        finally:
+            del self.opening[number]
+
+    async def receive(self) -> None:
+        """Pass each frame to its flow."""
+        while True:
+            decoded = wire.decode(await self.transport.receive())
+            if isinstance(decoded, result.Success):
+                self.on_frame(decoded.unwrap())
+
+    def on_frame(self, frame: wire.Frame) -> None:
+        """Take in one frame."""
+        exchange = self.opening.get(frame.flow)
+        if exchange is not None:
+            if frame.kind is wire.Kind.OPENED:
+                exchange.token = frame.token
+            elif frame.kind is wire.Kind.REFUSED:
+                exchange.outcome = NotRun(reasons.from_code(frame.reason))
+            exchange.notify()
+            return
+        flow = self.flows.get(frame.flow)
+        if flow is not None:
+            flow.on_frame(frame)
+
+    async def keep_alive(self) -> None:
+        """Keep idle flows known at their targets' homes."""
+        while True:
+            await anyio.sleep(KEEPALIVE_CHECK_S)
+            now = anyio.current_time()
+            for flow in list(self.flows.values()):
+                if flow.keepalive_at <= now:
+                    flow.keepalive_at = now + KEEPALIVE_INTERVAL_S
+                    await flow.send(wire.Kind.KEEPALIVE, 0, wire.EMPTY_TOKEN)
--- /dev/null
+++ b/basilgate/datagrams.py
@@ -0,0 +1,69 @@
+"""UDP sockets that several tasks may send on."""
+
+import collections.abc
+import contextlib
+import socket
+import typing
+
+import anyio
+import anyio.abc
+
+# Bursts of answer pieces overflow the usual 208 KB buffer.
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+
+
+class DatagramSocket(typing.Protocol):
+    """What balancers and callers need of a UDP socket."""
+
+    async def sendto(self, data: bytes, host: str, port: int) -> None:
+        """Send a datagram; a failure counts as a lost datagram."""
+
+    async def receive(self) -> tuple[bytes, tuple[str, int]]:
+        """Return the next datagram and its sender."""
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+
+
+Factory = collections.abc.Callable[
+    [tuple[str, int]], collections.abc.Awaitable[DatagramSocket]
+]
+
+
+class SharedSocket:
+    """UDP socket whose sends are serialised, as anyio allows one at a time.
+
+    Parameters
+    ----------
+    udp : anyio.abc.UDPSocket
+        The open socket.
+    """
+
+    def __init__(self, udp: anyio.abc.UDPSocket) -> None:
+        self.udp = udp
+        self.lock = anyio.Lock(fast_acquire=True)
+
+    async def sendto(self, data: bytes, host: str, port: int) -> None:
+        """Send a datagram; a failure counts as a lost datagram."""
+        async with self.lock:
+            with contextlib.suppress(OSError):
+                await self.udp.sendto(data, host, port)
+
+    async def receive(self) -> tuple[bytes, tuple[str, int]]:
+        """Return the next datagram and its sender."""
+        datagram, (host, port) = await self.udp.receive()
+        return datagram, (host, port)
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        await self.udp.aclose()
+
+
+async def open_socket(address: tuple[str, int]) -> DatagramSocket:
+    """Open a UDP socket on a local address; port 0 takes any free port."""
+    host, port = address
+    udp = await anyio.create_udp_socket(local_host=host, local_port=port)
+    raw = udp.extra(anyio.abc.SocketAttribute.raw_socket)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        raw.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+    return SharedSocket(udp)
--- /dev/null
+++ b/basilgate/effective.py
@@ -0,0 +1,166 @@
+"""Configuration in force: the sheet and the overrides, merged on every node."""
+
+import collections.abc
+import dataclasses
+import datetime
+
+from basilgate import objects, replica, settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service and its objectives; `latency_ms` bounds a good request."""
+
+    name: str
+    id: int
+    work_class: str
+    queue_limit: int
+    availability: float
+    latency_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A target with the overrides applied.
+
+    `weight` is its share of new flows relative to other targets; `admits` tells
+    whether configuration allows new flows; `leaving` marks a draining target.
+    """
+
+    name: str
+    id: int
+    service: int
+    domain: str
+    address: tuple[str, int]
+    admin: tuple[str, int]
+    slots: int
+    connections: int
+    weight: int
+    admits: bool
+    leaving: bool
+    pinned: bool
+    override: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class EffectiveConfig:
+    """Services, targets, and failure domains by id and name."""
+
+    services: dict[int, Service] = dataclasses.field(default_factory=dict)
+    service_ids: dict[str, int] = dataclasses.field(default_factory=dict)
+    targets: dict[int, Target] = dataclasses.field(default_factory=dict)
+    by_service: dict[int, list[Target]] = dataclasses.field(default_factory=dict)
+    by_domain: dict[str, list[Target]] = dataclasses.field(default_factory=dict)
+    domain_numbers: dict[str, int] = dataclasses.field(default_factory=dict)
+    domain_names: dict[int, str] = dataclasses.field(default_factory=dict)
+    # Unix time at which an override ends and the merge has to be repeated.
+    next_expiry_s: float | None = None
+
+
+def sheet_parts(
+    store: replica.Replica,
+) -> tuple[objects.Sheet | None, list[objects.SheetPart]]:
+    """Return the manifest and its parts; no manifest until all parts are here."""
+    sheet = store.parsed.get(objects.SHEET)
+    if not isinstance(sheet, objects.Sheet):
+        return None, []
+    parts = [store.parsed.get(objects.SHEET_PART_PREFIX + name) for name in sheet.parts]
+    found = [part for part in parts if isinstance(part, objects.SheetPart)]
+    if len(found) != len(parts):
+        return None, []
+    return sheet, found
+
+
+def active_overrides(
+    overrides: collections.abc.Iterable[objects.Override], now: datetime.datetime
+) -> dict[tuple[str, str], objects.Override]:
+    """Return the newest override that has not expired, by service and target."""
+    chosen: dict[tuple[str, str], objects.Override] = {}
+    for override in sorted(overrides, key=lambda o: (o.created_at, o.id)):
+        if override.expires_at is None or override.expires_at > now:
+            chosen[(override.service, override.target)] = override
+    return chosen
+
+
+def merge_target(
+    target: objects.SheetTarget, service: int, override: objects.Override | None
+) -> Target:
+    """Return a target of the sheet with its override applied."""
+    weight = target.weight
+    leaving = target.state == "drain"
+    pinned = False
+    pulled = False
+    if override is not None:
+        pinned = override.kind == "pin"
+        pulled = override.kind == "pull"
+        leaving = override.kind == "drain" or (leaving and not pinned)
+        if override.kind == "weight" and override.weight is not None:
+            weight = override.weight
+    return Target(
+        name=target.name,
+        id=target.id,
+        service=service,
+        domain=target.failure_domain,
+        address=settings.split_address(target.address),
+        admin=settings.split_address(target.admin),
+        slots=target.slots,
+        connections=target.connections,
+        weight=max(weight, 1) if pinned else weight,
+        admits=pinned or (weight > 0 and not leaving and not pulled),
+        leaving=leaving,
+        pinned=pinned,
+        override=override.id if override is not None else "",
+    )
+
+
+def merge(
+    parts: collections.abc.Iterable[objects.SheetPart],
+    overrides: collections.abc.Iterable[objects.Override],
+    now: datetime.datetime,
+) -> EffectiveConfig:
+    """Return the configuration in force, the same on every node."""
+    config = EffectiveConfig()
+    listed = list(overrides)
+    chosen = active_overrides(listed, now)
+    expiries = [
+        o.expires_at.timestamp() for o in listed if o.expires_at and o.expires_at > now
+    ]
+    config.next_expiry_s = min(expiries, default=None)
+    everything = list(parts)
+    for part in everything:
+        for domain in part.domains:
+            config.domain_numbers[domain.name] = domain.number
+            config.domain_names[domain.number] = domain.name
+        for service in part.services:
+            config.service_ids[service.name] = service.id
+            config.services[service.id] = Service(
+                service.name,
+                service.id,
+                service.work_class,
+                service.queue_limit,
+                service.availability,
+                service.latency_ms,
+            )
+            config.by_service.setdefault(service.id, [])
+    for part in everything:
+        for target in part.targets:
+            service_id = config.service_ids.get(target.service)
+            if service_id is None:
+                continue
+            override = chosen.get((target.service, target.name))
+            merged = merge_target(target, service_id, override)
+            config.targets[merged.id] = merged
+            config.by_service[service_id].append(merged)
+            config.by_domain.setdefault(merged.domain, []).append(merged)
+    return config
+
+
+def from_replica(store: replica.Replica, now: datetime.datetime) -> EffectiveConfig:
+    """Return the configuration in force according to a replica."""
+    _, parts = sheet_parts(store)
+    overrides = [
+        value
+        for value in store.under(objects.OVERRIDE_PREFIX).values()
+        if isinstance(value, objects.Override)
+    ]
+    return merge(parts, overrides, now)
--- /dev/null
+++ b/basilgate/homes.py
@@ -0,0 +1,323 @@
+"""The targets that this host is home for, and their changes of hands."""
+
+import collections.abc
+import math
+import typing
+
+import anyio
+import anyio.abc
+import logbook
+from returns import result
+
+from basilgate import (
+    effective,
+    home,
+    logs,
+    membership,
+    metrics,
+    objects,
+    peering,
+    reasons,
+    settings,
+    slots,
+    wire,
+)
+from peerproto import ttypes
+
+LOGGER = logbook.Logger("homes")
+
+HANDOVER_RETRY_S = 0.1
+UPKEEP_S = 0.25
+
+LOAD_HEALTHY = 1
+LOAD_DRAINING = 2
+
+
+class Homes:
+    """Homes at this host, kept in step with the domain view.
+
+    Parameters
+    ----------
+    members : membership.Membership
+        View and lease of this host.
+    context : home.Context
+        What each home needs of the balancer.
+    codec : peering.Codec
+        Encoding of control messages.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        context: home.Context,
+        codec: peering.Codec,
+    ) -> None:
+        self.members = members
+        self.context = context
+        self.codec = codec
+        self.config = effective.EffectiveConfig()
+        self.homes: dict[int, home.Home] = {}
+        # Homes handed over whose last requests still run here.
+        self.departing: dict[int, list[home.Home]] = {}
+        self.assignment: dict[int, objects.Member] = {}
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.incarnation = members.me.incarnation
+        self.on_started: collections.abc.Callable[[home.Home], None] = lambda _: None
+
+    # Queries.
+
+    def loads(self) -> list[typing.Any]:
+        """Return the load of each target of this host for heartbeats."""
+        return [
+            ttypes.TargetLoad(
+                target=number,
+                in_flight=min(len(entry.running) + entry.former_slots, 32_767),
+                queued=min(len(entry.queue), 32_767),
+                flows=len(entry.flows),
+                state=(LOAD_HEALTHY if entry.healthy else 0)
+                | (LOAD_DRAINING if entry.target.leaving else 0),
+                utilisation_permille=min(
+                    1_000, 1_000 * len(entry.running) // max(1, entry.target.slots)
+                ),
+            )
+            for number, entry in self.homes.items()
+        ]
+
+    def is_idle(self) -> bool:
+        """Tell whether no request runs here and no answer is left."""
+        leaving = [entry for group in self.departing.values() for entry in group]
+        return all(entry.is_idle() for entry in [*self.homes.values(), *leaving])
+
+    # Changes of hands.
+
+    def reassign(self, config: effective.EffectiveConfig) -> None:
+        """Start and hand over homes after a change of view or configuration."""
+        self.config = config
+        if self.members.me.incarnation != self.incarnation:
+            self.abandon()
+        targets = {t.id: t for t in config.by_domain.get(self.members.domain, [])}
+        for number, target in targets.items():
+            member = self.members.home_of(number)
+            former = self.assignment.get(number)
+            if member is None:
+                continue
+            self.assignment[number] = member
+            if member != self.members.me:
+                if number in self.homes:
+                    self.hand_over(number)
+            elif number in self.homes:
+                self.homes[number].target = target
+                self.update_rights(self.homes[number])
+            else:
+                self.start_home(target, former)
+        for number in [number for number in self.homes if number not in targets]:
+            # The sheet no longer has the target; its requests run to their end.
+            self.retire(self.homes.pop(number))
+            self.assignment.pop(number, None)
+        self.check_formers()
+
+    def abandon(self) -> None:
+        """Give up all homes after this host was removed from the view."""
+        self.incarnation = self.members.me.incarnation
+        for entry in self.homes.values():
+            entry.handed_over_to = "removed"
+            self.retire(entry)
+        self.homes.clear()
+
+    def start_home(
+        self, target: effective.Target, former: objects.Member | None
+    ) -> None:
+        """Become the home of a target."""
+        service = self.config.services[target.service]
+        entry = home.Home(target, service, self.context)
+        self.homes[target.id] = entry
+        if former is not None and former != self.members.me:
+            entry.former = former
+            entry.takeover(math.inf, former.host, complete=False)
+        self.update_rights(entry)
+        entry.log("home_started", former=former.host if former is not None else "")
+        if self.tasks is not None:
+            self.tasks.start_soon(self.run_home, entry)
+
+    def update_rights(self, entry: home.Home) -> None:
+        """Set what a new home may do, by what is known of the former one."""
+        former = entry.former
+        if former is None:
+            return
+        view = self.members.view
+        if self.members.has_ended(former.host, former.incarnation):
+            entry.former = None
+            entry.takeover(0.0, "", complete=False)
+        elif view is not None and former in view.members:
+            withheld = self.members.is_withheld(former.host)
+            entry.takeover(math.inf, "" if withheld else former.host, complete=False)
+        else:
+            entry.former = None
+            entry.takeover(
+                anyio.current_time() + membership.TAKEOVER_WAIT_S, "", complete=False
+            )
+            entry.log("takeover", former=former.host)
+            metrics.HANDOVERS.inc({"direction": "in", "outcome": "takeover"})
+
+    def check_formers(self) -> None:
+        """Give up requests left at former homes that have died."""
+        view = self.members.view
+        present = {m.host for m in view.members} if view is not None else set()
+        for entry in self.homes.values():
+            hosts = {record.former for record in entry.records.values()}
+            for host in hosts - present - {""}:
+                entry.former_lost(host)
+
+    async def run_home(self, entry: home.Home) -> None:
+        """Run the slots and the upkeep of one home until it is retired."""
+        self.on_started(entry)
+        with entry.scope:
+            async with anyio.create_task_group() as tasks:
+                for number in range(entry.target.slots):
+                    tasks.start_soon(slots.serve, entry, number)
+                while True:
+                    await entry.expire()
+                    await anyio.sleep(UPKEEP_S)
+
+    def retire(self, entry: home.Home) -> None:
+        """Let a home end once its last requests are answered."""
+        self.departing.setdefault(entry.target.id, []).append(entry)
+        if self.tasks is not None:
+            self.tasks.start_soon(self.finish_departing, entry)
+
+    async def finish_departing(self, entry: home.Home) -> None:
+        """Wait for the last requests of a home that was handed over."""
+        while not entry.is_idle():
+            await anyio.sleep(UPKEEP_S)
+        entry.scope.cancel()
+        group = self.departing.get(entry.target.id, [])
+        if entry in group:
+            group.remove(entry)
+        if not group:
+            self.departing.pop(entry.target.id, None)
+
+    def hand_over(self, number: int) -> None:
+        """Start to hand a target to its new home."""
+        entry = self.homes.pop(number)
+        entry.handed_over_to = self.assignment[number].host
+        handover = entry.export(
+            self.members.me.host, self.members.me.incarnation, self.members.epoch
+        )
+        self.departing.setdefault(number, []).append(entry)
+        if self.tasks is not None:
+            self.tasks.start_soon(self.send_handover, entry, handover)
+
+    async def send_handover(self, entry: home.Home, handover: typing.Any) -> None:
+        """Give a target's records to its new home, whichever that is by now."""
+        number = entry.target.id
+        while True:
+            member = self.assignment.get(number)
+            if member is None:
+                break
+            if member == self.members.me:
+                await self.take_back(entry, handover)
+                return
+            address = settings.split_address(member.peers)
+            answer = await peering.call(self.codec, address, "handover", handover)
+            if accepted(answer):
+                entry.handed_over_to = member.host
+                entry.log("handed_over", to=member.host)
+                metrics.HANDOVERS.inc({"direction": "out", "outcome": "accepted"})
+                break
+            metrics.HANDOVERS.inc({"direction": "out", "outcome": "retried"})
+            await anyio.sleep(HANDOVER_RETRY_S)
+        await self.finish_departing(entry)
+
+    async def take_back(self, entry: home.Home, handover: typing.Any) -> None:
+        """Become the home again before the handover was taken."""
+        number = entry.target.id
+        group = self.departing.get(number, [])
+        if entry in group:
+            group.remove(entry)
+        replaced = self.homes.get(number)
+        if replaced is not None:
+            self.retire(replaced)
+        self.homes[number] = entry
+        await entry.resume(handover)
+
+    async def on_handover(self, message: typing.Any) -> reasons.Reason:
+        """Take over a target from its former home; a reason refuses it."""
+        view = self.members.view
+        senders = {(m.host, m.incarnation) for m in (view.members if view else ())}
+        if (message.host, message.incarnation) not in senders:
+            return reasons.Reason.UNKNOWN_PEER
+        entry = self.homes.get(message.target)
+        if entry is None:
+            return reasons.Reason.NO_HOME
+        sent = (message.host, message.incarnation, message.epoch)
+        if entry.loaded != sent:
+            await entry.load(message)
+            entry.log("handover_taken", former=message.host)
+            metrics.HANDOVERS.inc({"direction": "in", "outcome": "accepted"})
+        return reasons.Reason.NONE
+
+    async def report(self, entry: home.Home, record: home.Record) -> None:
+        """Tell the new home that a request left here has ended."""
+        number = entry.target.id
+        member = self.assignment.get(number)
+        if member is None or member == self.members.me:
+            return
+        message = ttypes.Completion(
+            host=self.members.me.host,
+            incarnation=self.members.me.incarnation,
+            target=number,
+            flow=peering.signed(record.flow),
+            request=peering.signed32(record.request),
+            state=int(record.state),
+            reason=int(record.reason),
+        )
+        if self.tasks is not None:
+            self.tasks.start_soon(self.send_completion, number, message)
+
+    async def send_completion(self, number: int, message: typing.Any) -> None:
+        """Send a completion until the target's home has taken it."""
+        for _ in range(20):
+            member = self.assignment.get(number)
+            if member is None or member == self.members.me:
+                return
+            address = settings.split_address(member.peers)
+            answer = await peering.call(self.codec, address, "completion", message)
+            if accepted(answer):
+                return
+            await anyio.sleep(HANDOVER_RETRY_S)
+
+    def on_completion(self, message: typing.Any) -> reasons.Reason:
+        """Take in the end of a request that a former home was running."""
+        entry = self.homes.get(message.target)
+        if entry is None or entry.awaiting_from:
+            return reasons.Reason.NO_HOME
+        entry.on_completion(message)
+        return reasons.Reason.NONE
+
+    # Frames.
+
+    def former_of(self, target: int, frame: wire.Frame) -> str:
+        """Return the former home that still has a request, empty if none."""
+        entry = self.homes.get(target)
+        record = entry.records.get(frame.key) if entry is not None else None
+        return record.former if record is not None else ""
+
+    async def on_left_frame(
+        self, target: int, frame: wire.Frame, caller: wire.Address
+    ) -> reasons.Reason:
+        """Handle a frame about a request that was left at this former home."""
+        for entry in self.departing.get(target, []):
+            if frame.key in entry.records:
+                return await entry.on_frame(frame, caller)
+        return reasons.Reason.NO_HOME
+
+
+def accepted(answer: result.Result[tuple[str, typing.Any], reasons.Reason]) -> bool:
+    """Tell whether a peer accepted a message."""
+    if isinstance(answer, result.Failure):
+        logs.event(
+            LOGGER.debug, "peer_call_failed", reason=reasons.label(answer.failure())
+        )
+        return False
+    field, message = answer.unwrap()
+    return field == "acknowledgement" and bool(message.accepted)
--- /dev/null
+++ b/basilgate/membership.py
@@ -0,0 +1,511 @@
+"""Membership of a failure domain: view, heartbeats, and the home's lease.
+
+The protocol and its timing argument are in docs/design.md, section 6.
+"""
+
+import collections.abc
+import dataclasses
+import time
+import typing
+
+import anyio
+import anyio.abc
+import logbook
+from returns import result
+
+from basilgate import (
+    logs,
+    metrics,
+    objects,
+    peering,
+    platformapi,
+    reasons,
+    rendezvous,
+    replica,
+    settings,
+)
+from peerproto import ttypes
+
+LOGGER = logbook.Logger("membership")
+
+# The interval grows with the domain, so that heartbeats stay within the control
+# budget: 69 members cost about 65 messages a second each way.
+MIN_INTERVAL_S = 0.5
+MEMBERS_PER_INTERVAL_S = 64
+SUSPECT_AFTER_INTERVAL_S = 1.1
+DEAD_AFTER_INTERVAL_S = 1.7
+LEASE_S = 5.0
+CLOCK_SKEW_S = 0.25
+TAKEOVER_WAIT_S = LEASE_S + CLOCK_SKEW_S
+# A joiner that reaches no member for this long may remove members.
+JOIN_ALONE_S = 30.0
+JOIN_RETRY_S = 0.5
+# The last heartbeat is repeated because a datagram can be lost.
+FAREWELL_COPIES = 3
+FAREWELL_PAUSE_S = 0.02
+MICROSECONDS = 1_000_000
+
+Send = collections.abc.Callable[
+    [bytes, tuple[str, int]], collections.abc.Awaitable[None]
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another member of the view.
+
+    `suspect_at`, `dead_at`, and `granted_until` are deadlines on the monotonic
+    clock in seconds. `newest_sent_us` is echoed to the peer. `withheld` stops the
+    echo, so that the peer's lease runs out.
+    """
+
+    member: objects.Member
+    suspect_at: float
+    dead_at: float
+    granted_until: float = 0.0
+    newest_sent_us: int = 0
+    heard_epoch: int = 0
+    config_revision: int = 0
+    config_digest: int = 0
+    leaving: bool = False
+    withheld: bool = False
+    # A removal was written and its outcome is not known yet.
+    removal_pending: bool = False
+    loads: list[typing.Any] = dataclasses.field(default_factory=list)
+    scope: anyio.CancelScope = dataclasses.field(default_factory=anyio.CancelScope)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Address for control messages and relayed frames."""
+        return settings.split_address(self.member.peers)
+
+
+def interval_s(members: int) -> float:
+    """Return the seconds between two heartbeats to one peer."""
+    return max(MIN_INTERVAL_S, members / MEMBERS_PER_INTERVAL_S)
+
+
+class Membership:
+    """Part of one host in the view of its failure domain.
+
+    Parameters
+    ----------
+    me : objects.Member
+        This process, with the incarnation of this start.
+    domain : str
+        Failure domain of this host.
+    store : replica.Replica
+        Source of the view; adopted views are applied to it.
+    platform : platformapi.PlatformClient
+        Where the view is changed by conditional writes.
+    codec : peering.Codec
+        Encoding of control messages.
+    send : callable
+        Sends a datagram from the peer socket.
+    """
+
+    def __init__(
+        self,
+        me: objects.Member,
+        domain: str,
+        store: replica.Replica,
+        platform: platformapi.PlatformClient,
+        codec: peering.Codec,
+        send: Send,
+    ) -> None:
+        self.me = me
+        self.domain = domain
+        self.store = store
+        self.platform = platform
+        self.codec = codec
+        self.send = send
+        self.view: objects.View | None = None
+        self.peers: dict[str, Peer] = {}
+        self.ended: set[tuple[str, int]] = set()
+        # Proofs of end that are kept after the view changed, by host.
+        self.ended_incarnations: dict[str, int] = {}
+        self.carried_lease = 0.0
+        self.joined_epoch = 0
+        self.full = False
+        self.alone_at = anyio.current_time() + JOIN_ALONE_S
+        self.leaving = False
+        self.stopped = False
+        self.loads: collections.abc.Callable[[], list[typing.Any]] = list
+        self.on_change: collections.abc.Callable[[], None] = lambda: None
+        self.tasks: anyio.abc.TaskGroup | None = None
+        store.subscribe(self.on_object)
+
+    # Queries.
+
+    @property
+    def view_name(self) -> str:
+        """Name of the object that holds the view."""
+        return objects.VIEW_PREFIX + self.domain
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the adopted view, 0 before the first."""
+        return self.view.epoch if self.view is not None else 0
+
+    def is_member(self) -> bool:
+        """Tell whether the adopted view holds this incarnation."""
+        return self.view is not None and self.me in self.view.members
+
+    def members(self) -> dict[str, objects.Member]:
+        """Return the members of the view that have not ended, by host."""
+        if self.view is None:
+            return {}
+        return {
+            member.host: member
+            for member in self.view.members
+            if (member.host, member.incarnation) not in self.ended
+        }
+
+    def home_of(self, target: int) -> objects.Member | None:
+        """Return the home of a target of this domain, a staying member if any."""
+        members = self.members()
+        name = rendezvous.pick(target, self.staying() or members)
+        return members[name] if name is not None else None
+
+    def staying(self) -> list[str]:
+        """Return the members that are neither leaving nor held for dead."""
+        return [
+            name
+            for name in self.members()
+            if not self.is_leaving(name) and not self.is_withheld(name)
+        ]
+
+    def is_withheld(self, host: str) -> bool:
+        """Tell whether a member is held for dead and gets no echo."""
+        peer = self.peers.get(host)
+        return peer is not None and peer.withheld
+
+    def is_leaving(self, host: str) -> bool:
+        """Tell whether a member has announced that it leaves."""
+        if host == self.me.host:
+            return self.leaving
+        peer = self.peers.get(host)
+        return peer is not None and peer.leaving
+
+    def has_ended(self, host: str, incarnation: int) -> bool:
+        """Tell whether there is proof that a member runs no more work."""
+        return (
+            host,
+            incarnation,
+        ) in self.ended or self.ended_incarnations.get(host, 0) >= incarnation
+
+    def lease_until(self) -> float:
+        """Return the monotonic time until which non-idempotent work may start."""
+        if not self.is_member():
+            return self.carried_lease
+        others = [name for name in self.members() if name != self.me.host]
+        if not others:
+            return anyio.current_time() + LEASE_S
+        granted = min(
+            self.peers[name].granted_until if name in self.peers else 0.0
+            for name in others
+        )
+        return max(granted, self.carried_lease)
+
+    def is_alive(self, host: str) -> bool:
+        """Tell whether a peer has been heard within the detection time."""
+        if host == self.me.host:
+            return True
+        peer = self.peers.get(host)
+        return peer is not None and anyio.current_time() < peer.dead_at
+
+    # Views.
+
+    def on_object(self, stored: objects.StoredObject) -> None:
+        """Adopt a newer view of the own domain."""
+        if stored.name != self.view_name:
+            return
+        view = self.store.parsed.get(stored.name)
+        if isinstance(view, objects.View) and view.epoch > self.epoch:
+            self.adopt(view)
+
+    def adopt(self, view: objects.View) -> None:
+        """Take over a view and start one task for each new peer."""
+        lease = self.lease_until() if self.is_member() else 0.0
+        was_member = self.is_member()
+        sole_before = was_member and not self.peers
+        self.view = view
+        metrics.VIEW_EPOCH.set({}, view.epoch)
+        if self.me in view.members:
+            self.carried_lease = lease
+            if not was_member:
+                self.joined_epoch = view.epoch
+                self.full = len(view.members) == 1
+            elif sole_before:
+                self.full = True
+        elif was_member:
+            # Removed while alive. Work of this incarnation must not start again,
+            # so the host comes back as a new one.
+            self.carried_lease = 0.0
+            self.full = False
+            self.me = self.me.model_copy(update={"incarnation": new_incarnation()})
+        current = {(m.host, m.incarnation) for m in view.members}
+        for host, incarnation in self.ended:
+            self.note_ended(host, incarnation)
+        self.ended &= current
+        for name, peer in list(self.peers.items()):
+            if (name, peer.member.incarnation) not in current:
+                peer.scope.cancel()
+                del self.peers[name]
+            peer.removal_pending = False
+        for member in view.members:
+            # Only one process can have the address: an earlier one has ended.
+            self.note_ended(member.host, member.incarnation - 1)
+        now = anyio.current_time()
+        pause = interval_s(len(view.members))
+        for member in view.members:
+            if member.host != self.me.host and member.host not in self.peers:
+                peer = Peer(
+                    member,
+                    suspect_at=now + pause + SUSPECT_AFTER_INTERVAL_S,
+                    dead_at=now + pause + DEAD_AFTER_INTERVAL_S,
+                )
+                self.peers[member.host] = peer
+                if self.tasks is not None:
+                    self.tasks.start_soon(self.attend, peer)
+        if self.tasks is not None:
+            for peer in self.peers.values():
+                self.tasks.start_soon(self.send_heartbeat, peer)
+        logs.event(
+            LOGGER.info,
+            "view_adopted",
+            epoch=view.epoch,
+            members=",".join(m.host for m in view.members),
+        )
+        self.on_change()
+
+    async def write_view(
+        self, members: collections.abc.Sequence[objects.Member], why: str
+    ) -> bool:
+        """Write the next view by a conditional write; adopt what is in force."""
+        held = self.store.stored.get(self.view_name)
+        view = objects.View(
+            domain=self.domain, epoch=self.epoch + 1, members=tuple(members)
+        )
+        answer = await self.platform.put(
+            self.view_name,
+            view.model_dump(mode="json"),
+            held.version if held is not None else 0,
+        )
+        if isinstance(answer, result.Success):
+            logs.event(LOGGER.info, "view_written", epoch=view.epoch, why=why)
+            self.store.apply(answer.unwrap())
+            await self.push_view()
+            return True
+        logs.event(
+            LOGGER.info,
+            "view_not_written",
+            epoch=view.epoch,
+            why=why,
+            problem=answer.failure().kind.value,
+        )
+        if answer.failure().kind is platformapi.ProblemKind.CONFLICT:
+            await self.refresh_view()
+        return False
+
+    async def refresh_view(self) -> bool:
+        """Read the view from the platform; False if that failed."""
+        answer = await self.platform.get(self.view_name)
+        if isinstance(answer, result.Success):
+            self.store.apply(answer.unwrap())
+            return True
+        return answer.failure().kind is platformapi.ProblemKind.NOT_FOUND
+
+    async def push_view(self) -> None:
+        """Send the adopted view to the other members at once."""
+        stored = self.store.stored.get(self.view_name)
+        if stored is None:
+            return
+        message = ttypes.ViewChanged(
+            self.me.host, self.me.incarnation, peering.to_thrift(stored)
+        )
+        datagram = self.codec.encode("view_changed", message)
+        if len(datagram) > peering.MAX_CONTROL_DATAGRAM_BYTES:
+            return
+        for peer in list(self.peers.values()):
+            await self.send(datagram, peer.address)
+
+    # Tasks.
+
+    async def run(self) -> None:
+        """Join the view and keep the membership until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            for peer in self.peers.values():
+                tasks.start_soon(self.attend, peer)
+            while True:
+                if not self.is_member() and not self.leaving:
+                    await self.join()
+                self.check_full()
+                await anyio.sleep(JOIN_RETRY_S)
+
+    async def join(self) -> None:
+        """Add this host to the view of its domain."""
+        if not await self.refresh_view():
+            return
+        others = [
+            member
+            for member in (self.view.members if self.view is not None else ())
+            if member.host != self.me.host
+        ]
+        if self.view is not None and self.me in self.view.members:
+            return
+        await self.write_view([*others, self.me], "join")
+
+    def check_full(self) -> None:
+        """Become a full member once all others have confirmed the join."""
+        if self.full or not self.is_member():
+            return
+        others = [peer for name, peer in self.peers.items() if name in self.members()]
+        confirmed = all(peer.heard_epoch >= self.joined_epoch for peer in others)
+        if any(peer.heard_epoch > 0 for peer in others):
+            self.alone_at = anyio.current_time() + JOIN_ALONE_S
+        if confirmed or anyio.current_time() >= self.alone_at:
+            self.full = True
+            logs.event(LOGGER.info, "member_full", epoch=self.epoch)
+
+    async def attend(self, peer: Peer) -> None:
+        """Send heartbeats to one peer and remove it from the view once dead."""
+        with peer.scope:
+            while not self.stopped:
+                await self.send_heartbeat(peer)
+                if anyio.current_time() >= peer.dead_at:
+                    await self.remove(peer)
+                elif peer.removal_pending and self.full and self.view is not None:
+                    # The peer is back. A new view keeps a delayed removal from
+                    # taking effect after the echo is given again.
+                    await self.write_view(self.view.members, "invalidate_removal")
+                members = len(self.view.members) if self.view is not None else 1
+                await anyio.sleep(interval_s(members))
+
+    async def send_heartbeat(self, peer: Peer) -> None:
+        """Send one heartbeat; the echo is withheld from a peer held for dead."""
+        known = peer.member in (self.view.members if self.view is not None else ())
+        echo = peer.newest_sent_us if known and not peer.withheld else 0
+        message = ttypes.Heartbeat(
+            host=self.me.host,
+            incarnation=self.me.incarnation,
+            epoch=self.epoch,
+            sent_us=int(anyio.current_time() * MICROSECONDS),
+            echo_us=echo,
+            config_revision=self.store.revision,
+            config_digest=self.store.digest,
+            leaving=self.leaving,
+            loads=self.loads(),
+            ended=[ttypes.EndedMember(host, inc) for host, inc in sorted(self.ended)],
+        )
+        await self.send(self.codec.encode("heartbeat", message), peer.address)
+
+    async def remove(self, peer: Peer) -> None:
+        """Write a view without a dead peer."""
+        if not self.full or not self.is_member() or self.leaving:
+            return
+        if not peer.withheld:
+            peer.withheld = True
+            logs.event(LOGGER.warning, "peer_dead", peer=peer.member.host)
+            self.on_change()
+        # Lower ranks wait a little, so that one writer usually suffices.
+        alive = [name for name in self.members() if self.is_alive(name)]
+        order = rendezvous.rank(self.epoch, alive).index(self.me.host)
+        epoch = self.epoch
+        await anyio.sleep(0.05 * order)
+        if self.epoch != epoch or self.view is None:
+            return
+        dead = {
+            other.member.host
+            for other in self.peers.values()
+            if other.withheld and anyio.current_time() >= other.dead_at
+        }
+        if dead:
+            survivors = [m for m in self.view.members if m.host not in dead]
+            for name in dead:
+                self.peers[name].removal_pending = True
+            with anyio.CancelScope(shield=True):
+                await self.write_view(survivors, "removal")
+
+    async def leave(self) -> None:
+        """Write a view without this host; members do it if the platform is down."""
+        self.stopped = True
+        self.ended.add((self.me.host, self.me.incarnation))
+        for _ in range(FAREWELL_COPIES):
+            for peer in list(self.peers.values()):
+                await self.send_heartbeat(peer)
+            await anyio.sleep(FAREWELL_PAUSE_S)
+        if self.view is not None and self.is_member():
+            others = [m for m in self.view.members if m.host != self.me.host]
+            await self.write_view(others, "leave")
+
+    # Messages.
+
+    def on_heartbeat(
+        self, message: typing.Any, address: tuple[str, int]
+    ) -> reasons.Reason | None:
+        """Take in a heartbeat; return a reason if it is refused."""
+        peer = self.peers.get(message.host)
+        if peer is None:
+            return reasons.Reason.UNKNOWN_PEER
+        if message.incarnation < peer.member.incarnation:
+            return reasons.Reason.STALE_INCARNATION
+        if message.incarnation > peer.member.incarnation:
+            if address == peer.address:
+                # Only one process can have the address: the former one has ended.
+                self.mark_ended(peer.member.host, peer.member.incarnation)
+            return reasons.Reason.UNKNOWN_PEER
+        now = anyio.current_time()
+        if message.echo_us > now * MICROSECONDS:
+            return reasons.Reason.MALFORMED
+        pause = interval_s(len(self.peers) + 1)
+        if peer.withheld and not peer.removal_pending:
+            peer.withheld = False
+            self.on_change()
+        peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
+        peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
+        peer.newest_sent_us = max(peer.newest_sent_us, message.sent_us)
+        if message.epoch > peer.heard_epoch and self.tasks is not None:
+            # An answer at once spares a new epoch the wait for the next interval.
+            self.tasks.start_soon(self.send_heartbeat, peer)
+        peer.heard_epoch = max(peer.heard_epoch, message.epoch)
+        peer.config_revision = message.config_revision
+        peer.config_digest = message.config_digest
+        peer.loads = message.loads or []
+        if message.leaving and not peer.leaving:
+            peer.leaving = True
+            self.on_change()
+        if message.echo_us and message.epoch == self.epoch:
+            until = message.echo_us / MICROSECONDS + LEASE_S
+            peer.granted_until = max(peer.granted_until, until)
+        for entry in message.ended or []:
+            self.mark_ended(entry.host, entry.incarnation)
+        return None
+
+    def mark_ended(self, host: str, incarnation: int) -> None:
+        """Record the proof that a member of the view runs no more work."""
+        key = (host, incarnation)
+        members = self.view.members if self.view is not None else ()
+        if key in self.ended or all((m.host, m.incarnation) != key for m in members):
+            return
+        self.ended.add(key)
+        self.note_ended(host, incarnation)
+        logs.event(LOGGER.info, "member_ended", peer=host, incarnation=incarnation)
+        self.on_change()
+
+    def note_ended(self, host: str, incarnation: int) -> None:
+        """Remember a proof of end beyond the view that it concerns."""
+        known = self.ended_incarnations.get(host, 0)
+        self.ended_incarnations[host] = max(known, incarnation)
+
+    def on_view_changed(self, message: typing.Any) -> None:
+        """Adopt a view that a peer pushed."""
+        stored = peering.from_thrift(message.view)
+        if stored is not None and stored.name == self.view_name:
+            self.store.apply(stored)
+
+
+def new_incarnation() -> int:
+    """Return the incarnation of a process that starts now."""
+    return time.time_ns()
--- /dev/null
+++ b/basilgate/objects.py
@@ -0,0 +1,175 @@
+"""Models of the objects that the platform keeps."""
+
+import collections.abc
+import dataclasses
+import datetime
+import typing
+
+import pydantic
+from returns import result
+
+from basilgate import settings
+
+MAX_OBJECT_BYTES = 1_000_000
+
+SHEET = "sheet"
+SHEET_PART_PREFIX = "sheet-part/"
+OVERRIDE_PREFIX = "override/"
+VIEW_PREFIX = "view/"
+KEY_PREFIX = "key/"
+
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=64)
+]
+
+
+class Model(pydantic.BaseModel):
+    """Common rules of all objects."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Written(Model):
+    """An object written by conditional update.
+
+    `operation` identifies the write, so that a writer whose answer was lost
+    recognises its own write on reading back.
+    """
+
+    operation: str = ""
+
+
+class SheetDomain(Model):
+    """A failure domain and its number in tokens."""
+
+    name: Name
+    number: int = pydantic.Field(ge=1, le=255)
+    region: str = "default"
+
+
+class SheetService(Model):
+    """What one service should have on the day of the sheet."""
+
+    name: Name
+    id: int = pydantic.Field(ge=1, le=0xFFFFFFFF)
+    address: str = ""
+    work_class: typing.Literal["short", "long", "learned"] = "learned"
+    queue_limit: int = pydantic.Field(default=64, ge=1, le=100_000)
+    # Objectives: share of requests answered, and the latency bound they meet.
+    availability: float = pydantic.Field(default=0.999, gt=0, lt=1)
+    latency_ms: float = pydantic.Field(default=1_000.0, gt=0)
+
+
+class SheetTarget(Model):
+    """A target of one service."""
+
+    name: Name
+    id: int = pydantic.Field(ge=1, le=0x7FFFFFFF)
+    service: Name
+    failure_domain: Name
+    address: settings.Address
+    admin: settings.Address
+    slots: int = pydantic.Field(default=3, ge=1, le=1_000)
+    connections: int = pydantic.Field(default=2_000, ge=1, le=10_000_000)
+    weight: int = pydantic.Field(default=100, ge=0, le=10_000)
+    state: typing.Literal["active", "drain"] = "active"
+
+
+class SheetPart(Written):
+    """Immutable part of a sheet."""
+
+    domains: tuple[SheetDomain, ...] = ()
+    services: tuple[SheetService, ...] = ()
+    targets: tuple[SheetTarget, ...] = ()
+
+
+class Sheet(Written):
+    """Manifest of the sheet in force; names its parts."""
+
+    date: datetime.date
+    planner: str = ""
+    applied_by: str = ""
+    applied_at: datetime.datetime
+    parts: tuple[str, ...]
+
+
+class Override(Written):
+    """Standing override of one target by an operator."""
+
+    id: Name
+    kind: typing.Literal["pin", "pull", "weight", "drain"]
+    service: Name
+    target: Name
+    weight: int | None = pydantic.Field(default=None, ge=0, le=10_000)
+    operator: str = pydantic.Field(min_length=1)
+    reason: str = ""
+    created_at: datetime.datetime
+    expires_at: datetime.datetime | None = None
+
+
+class Member(Model):
+    """A balancer in a domain view; `incarnation` is its start in Unix ns."""
+
+    host: Name
+    incarnation: int
+    callers: settings.Address
+    peers: settings.Address
+    admin: settings.Address
+
+
+class View(Written):
+    """Members of one failure domain."""
+
+    domain: Name
+    epoch: int = pydantic.Field(ge=1)
+    members: tuple[Member, ...]
+
+
+class Key(Written):
+    """Key of placement tokens, in hexadecimal."""
+
+    id: int = pydantic.Field(ge=0, le=255)
+    secret: str = pydantic.Field(pattern=r"^([0-9a-f]{2}){16,64}$")
+
+
+MODELS: tuple[tuple[str, type[Written]], ...] = (
+    (SHEET_PART_PREFIX, SheetPart),
+    (OVERRIDE_PREFIX, Override),
+    (VIEW_PREFIX, View),
+    (KEY_PREFIX, Key),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """An object as the platform holds it; `value` is None once removed."""
+
+    name: str
+    version: int
+    revision: int
+    value: collections.abc.Mapping[str, typing.Any] | None
+
+
+def model_for(name: str) -> type[Written] | None:
+    """Return the model of the object called `name`, None if it is not ours."""
+    if name == SHEET:
+        return Sheet
+    for prefix, model in MODELS:
+        if name.startswith(prefix):
+            return model
+    return None
+
+
+def parse(
+    name: str, value: collections.abc.Mapping[str, typing.Any]
+) -> result.Result[Written, str]:
+    """Return the validated object, or one line that says what is wrong."""
+    model = model_for(name)
+    if model is None:
+        return result.Failure(f"{name}: unknown kind of object")
+    try:
+        return result.Success(model.model_validate(value))
+    except pydantic.ValidationError as error:
+        problem = error.errors()[0]
+        place = ".".join(str(part) for part in problem["loc"])
+        return result.Failure(f"{name}: {place}: {problem['msg']}")
--- /dev/null
+++ b/basilgate/opening.py
@@ -0,0 +1,193 @@
+"""Opening of flows: the owner of an open, its choice, and its memory."""
+
+import collections.abc
+import dataclasses
+import random
+import time
+import typing
+
+import anyio
+from returns import result
+
+from basilgate import (
+    effective,
+    homes,
+    membership,
+    metrics,
+    objects,
+    placement,
+    reasons,
+    rendezvous,
+    replica,
+    tokens,
+    wire,
+)
+
+OPEN_MEMORY_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class Opened:
+    """Placement of a recent open; `forget_at` is on the monotonic clock."""
+
+    token: bytes
+    target: int
+    forget_at: float
+
+
+class Opener:
+    """Decides where new flows go.
+
+    Parameters
+    ----------
+    members : membership.Membership
+        Members of the own domain.
+    own : homes.Homes
+        Homes of this host.
+    store : replica.Replica
+        Views of the other domains.
+    ring : tokens.KeyRing
+        Keys that sign tokens.
+    policy : placement.Policy
+        Choice among the candidates.
+    token_lifetime_s : int
+        Lifetime of a token in seconds.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        own: homes.Homes,
+        store: replica.Replica,
+        ring: tokens.KeyRing,
+        policy: placement.Policy,
+        token_lifetime_s: int,
+    ) -> None:
+        self.members = members
+        self.own = own
+        self.store = store
+        self.ring = ring
+        self.policy = policy
+        self.token_lifetime_s = token_lifetime_s
+        self.rng = random.Random(members.me.incarnation)
+        self.config = effective.EffectiveConfig()
+        self.recent: dict[int, Opened] = {}
+        # Flows placed since the home's last report, by target.
+        self.placed: dict[int, int] = {}
+        self.is_reachable: collections.abc.Callable[[str], bool] = lambda _: True
+
+    # Who decides.
+
+    def domain_for(self, frame: wire.Frame) -> str | None:
+        """Return the failure domain that an open belongs to."""
+        weights: dict[str, float] = {}
+        for target in self.config.by_service.get(frame.service, []):
+            if target.admits and self.is_reachable(target.domain):
+                weight = weights.get(target.domain, 0.0)
+                weights[target.domain] = weight + target.weight
+        return rendezvous.pick_weighted(frame.flow, weights)
+
+    def owner_in(self, domain: str, flow: int) -> objects.Member | None:
+        """Return the member of a domain that decides on an open."""
+        if domain == self.members.domain:
+            members = self.members.members()
+            name = rendezvous.pick(flow, self.members.staying() or members)
+            return members[name] if name is not None else None
+        view = self.store.parsed.get(objects.VIEW_PREFIX + domain)
+        if not isinstance(view, objects.View):
+            return None
+        by_host = {member.host: member for member in view.members}
+        name = rendezvous.pick(flow, by_host)
+        return by_host[name] if name is not None else None
+
+    # The decision.
+
+    def candidates(self, service: int) -> list[placement.Candidate]:
+        """Return the targets of the own domain that may get a new flow."""
+        reported = {
+            load.target: load
+            for peer in self.members.peers.values()
+            for load in peer.loads
+        }
+        found = []
+        for target in self.config.by_service.get(service, []):
+            if target.domain != self.members.domain or not target.admits:
+                continue
+            candidate = self.candidate(target, reported.get(target.id))
+            if candidate is not None:
+                found.append(candidate)
+        return found
+
+    def candidate(
+        self, target: effective.Target, reported: typing.Any
+    ) -> placement.Candidate | None:
+        """Return a target with its load, None if it cannot take a flow."""
+        mine = self.own.homes.get(target.id)
+        placed = self.placed.get(target.id, 0)
+        if mine is not None:
+            if not mine.healthy or len(mine.flows) >= target.connections:
+                return None
+            return placement.Candidate(
+                target, len(mine.flows), len(mine.running), len(mine.queue)
+            )
+        if reported is None:
+            return placement.Candidate(target, placed=placed)
+        load = reported
+        if not load.state & homes.LOAD_HEALTHY:
+            return None
+        if load.flows + placed >= target.connections:
+            return None
+        return placement.Candidate(
+            target, load.flows, load.in_flight, load.queued, placed
+        )
+
+    def remembered(self, flow: int) -> Opened | None:
+        """Return the placement of a recent open of the same flow."""
+        opened = self.recent.get(flow)
+        if opened is not None and opened.forget_at > anyio.current_time():
+            return opened
+        return None
+
+    def decide(self, frame: wire.Frame) -> result.Result[Opened, reasons.Reason]:
+        """Place a flow and remember where."""
+        known = self.remembered(frame.flow)
+        if known is not None:
+            return result.Success(known)
+        if frame.service not in self.config.services:
+            return result.Failure(reasons.Reason.NO_SUCH_SERVICE)
+        if not self.ring.keys:
+            return result.Failure(reasons.Reason.NO_CONFIGURATION)
+        found = self.candidates(frame.service)
+        if not found:
+            return result.Failure(reasons.Reason.NO_TARGET)
+        target = self.policy(found, self.rng).target
+        self.placed[target.id] = self.placed.get(target.id, 0) + 1
+        opened = Opened(
+            self.mint(target, frame.flow),
+            target.id,
+            anyio.current_time() + OPEN_MEMORY_S,
+        )
+        self.recent[frame.flow] = opened
+        metrics.OPENS.inc({"service": str(frame.service), "outcome": "placed"})
+        return result.Success(opened)
+
+    def mint(self, target: effective.Target, flow: int) -> bytes:
+        """Return a token that assigns a flow to a target."""
+        claims = tokens.Placement(
+            target.service,
+            target.id,
+            self.config.domain_numbers.get(target.domain, 0),
+            int(time.time()) + self.token_lifetime_s,
+        )
+        return tokens.mint(self.ring, claims, flow)
+
+    def forget(self) -> None:
+        """Drop opens that are past the memory, and counts now reported."""
+        now = anyio.current_time()
+        for flow in [f for f, o in self.recent.items() if o.forget_at <= now]:
+            del self.recent[flow]
+
+    def on_loads(self, loads: collections.abc.Iterable[typing.Any]) -> None:
+        """Reset the counts of flows placed since the homes' last report."""
+        for load in loads:
+            self.placed.pop(load.target, None)
--- /dev/null
+++ b/basilgate/rendezvous.py
@@ -0,0 +1,38 @@
+"""Rendezvous hashing: each node ranks the same names the same way for a key."""
+
+import collections.abc
+import math
+
+import xxhash
+
+HASH_SPAN = float(1 << 64)
+
+
+def score(key: int, name: str) -> int:
+    """Return the 64-bit weight of `name` for `key`."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=key & 0xFFFFFFFFFFFFFFFF)
+
+
+def rank(key: int, names: collections.abc.Iterable[str]) -> list[str]:
+    """Return the names by falling weight for `key`."""
+    return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
+
+
+def pick(key: int, names: collections.abc.Iterable[str]) -> str | None:
+    """Return the name with the highest weight for `key`, None without names."""
+    return max(names, key=lambda name: (score(key, name), name), default=None)
+
+
+def pick_weighted(key: int, weights: collections.abc.Mapping[str, float]) -> str | None:
+    """Return one name, chosen in proportion to its weight.
+
+    A change of one weight moves only keys to or from that name. Names with
+    a weight of 0 are left out; None is returned if none is left.
+    """
+
+    def weighted(name: str) -> float:
+        uniform = (score(key, name) + 0.5) / HASH_SPAN
+        return -weights[name] / math.log(uniform)
+
+    usable = [name for name in sorted(weights) if weights[name] > 0]
+    return max(usable, key=weighted, default=None)
--- /dev/null
+++ b/basilgate/slots.py
@@ -0,0 +1,202 @@
+"""Slot connections: one task for each TCP connection of a home to its target."""
+
+import dataclasses
+
+import anyio
+import anyio.abc
+import anyio.streams.buffered
+import anyio.streams.memory
+import logbook
+from returns import result
+
+from basilgate import home, logs, reasons, wire
+
+LOGGER = logbook.Logger("slots")
+
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_PAUSE_S = 0.2
+# Time for the target to answer a cancellation after the deadline.
+CANCEL_GRACE_S = 1.0
+PIECES_BUFFERED = 64
+
+
+@dataclasses.dataclass(slots=True)
+class Slot:
+    """One connection to a target."""
+
+    owner: home.Home
+    number: int
+    stream: anyio.abc.ByteStream
+    frames: anyio.streams.memory.MemoryObjectReceiveStream[wire.Frame]
+
+
+async def serve(owner: home.Home, number: int) -> None:
+    """Keep one slot connection and run requests on it until cancelled."""
+    while True:
+        stream = await connect(owner)
+        if stream is not None:
+            owner.connected_slots += 1
+            try:
+                await serve_connection(owner, number, stream)
+            finally:
+                owner.connected_slots -= 1
+        await anyio.sleep(RECONNECT_PAUSE_S)
+
+
+async def connect(owner: home.Home) -> anyio.abc.ByteStream | None:
+    """Connect to the target; None if that failed."""
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            return await anyio.connect_tcp(*owner.target.address)
+    except (OSError, TimeoutError):
+        return None
+
+
+async def serve_connection(
+    owner: home.Home, number: int, stream: anyio.abc.ByteStream
+) -> None:
+    """Run requests on one connection until it ends."""
+    sender, receiver = anyio.create_memory_object_stream[wire.Frame](PIECES_BUFFERED)
+    slot = Slot(owner, number, stream, receiver)
+    async with stream, receiver, anyio.create_task_group() as tasks:
+        tasks.start_soon(read_frames, stream, sender, tasks.cancel_scope, slot)
+        while True:
+            record = await owner.next_work()
+            with anyio.CancelScope(shield=True):
+                if not await run_request(slot, record):
+                    break
+        tasks.cancel_scope.cancel()
+
+
+async def read_frames(
+    stream: anyio.abc.ByteStream,
+    sender: anyio.streams.memory.MemoryObjectSendStream[wire.Frame],
+    idle: anyio.CancelScope,
+    slot: Slot,
+) -> None:
+    """Pass on the frames of a target; end the connection's task at its end."""
+    reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
+    async with sender:
+        try:
+            while True:
+                prefix = await reader.receive_exactly(wire.LENGTH_PREFIX.size)
+                (length,) = wire.LENGTH_PREFIX.unpack(prefix)
+                if length > wire.MAX_FRAME_BYTES:
+                    break
+                decoded = wire.decode(await reader.receive_exactly(length))
+                if isinstance(decoded, result.Failure):
+                    break
+                await sender.send(decoded.unwrap())
+        except (
+            OSError,
+            anyio.EndOfStream,
+            anyio.IncompleteRead,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            pass
+    logs.event(LOGGER.debug, "slot_closed", target=slot.owner.target.name)
+    idle.cancel()
+
+
+async def send(slot: Slot, frame: wire.Frame) -> bool:
+    """Send one frame to the target; False if the connection has ended."""
+    encoded = wire.encode(frame)
+    try:
+        await slot.stream.send(wire.LENGTH_PREFIX.pack(len(encoded)) + encoded)
+    except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        return False
+    return True
+
+
+async def run_request(slot: Slot, record: home.Record) -> bool:
+    """Forward one request and take its outcome; False ends the connection."""
+    owner = slot.owner
+    if not record.idempotent and not owner.has_authority():
+        # The lease ran out between the choice and now; nothing was sent.
+        owner.running.pop(record.key, None)
+        record.state = home.RecordState.QUEUED
+        await owner.enqueue(record)
+        return True
+    if not await send(slot, owner.forwarding(record)):
+        await connection_lost(owner, record)
+        return False
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cancel_when_due, slot, record)
+        alive = await take_outcome(slot, record)
+        tasks.cancel_scope.cancel()
+    return alive
+
+
+async def cancel_when_due(slot: Slot, record: home.Record) -> None:
+    """Cancel a request when its caller asks for it or its deadline passes."""
+    left_s = record.deadline_ms / 1000 - home.now_ms() / 1000
+    with anyio.move_on_after(left_s):
+        await record.cancel.wait()
+    await send(slot, slot.owner.make_frame(record, wire.Kind.CANCEL))
+    await anyio.sleep(CANCEL_GRACE_S)
+    # The target ignores the cancellation; closing the connection ends the work.
+    await slot.stream.aclose()
+
+
+async def take_outcome(slot: Slot, record: home.Record) -> bool:
+    """Take frames of the target up to the outcome; False if none came."""
+    owner = slot.owner
+    while True:
+        try:
+            frame = await slot.frames.receive()
+        except anyio.EndOfStream:
+            await connection_lost(owner, record)
+            return False
+        if frame.key != record.key:
+            # Late frame of a request that was given up on this connection.
+            continue
+        if frame.kind is wire.Kind.ANSWER:
+            if await owner.on_piece(record, frame):
+                await owner.finish(record, home.RecordState.ANSWERED)
+                return True
+        elif frame.kind is wire.Kind.SHED:
+            record.forwarded = record.forwards > 1
+            await not_started(owner, record, reasons.from_code(frame.reason))
+            return True
+        elif frame.kind is wire.Kind.CANCELLED:
+            await cancelled(owner, record, bool(frame.flags & wire.FLAG_STARTED))
+            return True
+        else:
+            await connection_lost(owner, record)
+            return False
+
+
+async def cancelled(owner: home.Home, record: home.Record, started: bool) -> None:
+    """End a request that the target cancelled."""
+    if started:
+        await owner.finish(
+            record,
+            home.RecordState.UNKNOWN,
+            reasons.Reason.CANCELLED_AFTER_START,
+        )
+    else:
+        record.forwarded = record.forwards > 1
+        await owner.refuse(record, reasons.Reason.CANCELLED)
+
+
+async def not_started(
+    owner: home.Home, record: home.Record, reason: reasons.Reason
+) -> None:
+    """End or retry a request that the target left unstarted."""
+    shown = (
+        reason if reason is not reasons.Reason.NONE else reasons.Reason.SHED_BY_TARGET
+    )
+    if record.idempotent and await owner.context.retry(owner, record):
+        return
+    await owner.refuse(record, shown)
+
+
+async def connection_lost(owner: home.Home, record: home.Record) -> None:
+    """End or retry a request whose connection ended."""
+    repeatable = record.idempotent and record.answer is None
+    if repeatable and await owner.context.retry(owner, record):
+        return
+    await owner.finish(
+        record, home.RecordState.UNKNOWN, reasons.Reason.TARGET_CONNECTION_LOST
+    )
--- /dev/null
+++ b/basilgate/wire.py
@@ -0,0 +1,214 @@
+"""Datagram format between callers, balancers, and targets.
+
+The layout is documented in docs/protocol.md. All integers are in network byte
+order.
+"""
+
+import dataclasses
+import enum
+import ipaddress
+import struct
+
+from returns import result
+
+from basilgate import reasons
+
+MAGIC = 0xBA51
+RELAY_MAGIC = 0xBA52
+VERSION = 1
+
+HEADER_BYTES = 72
+TOKEN_BYTES = 32
+# A frame with this body, a relay envelope, and IP headers stays below the usual
+# 1,500-byte link limit, so that datagrams are not fragmented.
+MAX_BODY_BYTES = 1_200
+MAX_FRAME_BYTES = HEADER_BYTES + MAX_BODY_BYTES
+EMPTY_TOKEN = bytes(TOKEN_BYTES)
+
+MAX_HOPS = 3
+
+HEADER = struct.Struct("!HBBBBBBIQIHHIQ32s")
+RELAY = struct.Struct("!HBB16sHBB")
+RELAY_BYTES = RELAY.size
+LENGTH_PREFIX = struct.Struct("!I")
+
+FLAG_IDEMPOTENT = 1
+FLAG_STARTED = 2
+
+
+class Kind(enum.IntEnum):
+    """Kind of a frame."""
+
+    OPEN = 1
+    OPENED = 2
+    REQUEST = 3
+    ANSWER = 4
+    REFUSED = 5
+    UNKNOWN = 6
+    CANCEL = 7
+    PULL = 8
+    ACK = 9
+    KEEPALIVE = 10
+    ALIVE = 11
+    CLOSE = 12
+    CANCELLED = 13
+    SHED = 14
+    PENDING = 15
+
+
+class WorkClass(enum.IntEnum):
+    """Expected size of a request's work."""
+
+    UNDECLARED = 0
+    SHORT = 1
+    LONG = 2
+
+
+KINDS = {int(kind): kind for kind in Kind}
+WORK_CLASSES = {int(work_class): work_class for work_class in WorkClass}
+
+
+@dataclasses.dataclass(slots=True)
+class Frame:
+    """A decoded frame.
+
+    `deadline_ms` is Unix time in milliseconds; 0 means that none applies.
+    """
+
+    kind: Kind
+    service: int
+    flow: int
+    request: int = 0
+    flags: int = 0
+    work_class: WorkClass = WorkClass.UNDECLARED
+    attempt: int = 0
+    reason: int = 0
+    piece: int = 0
+    pieces: int = 0
+    total_bytes: int = 0
+    deadline_ms: int = 0
+    token: bytes = EMPTY_TOKEN
+    body: bytes = b""
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run more than once."""
+        return bool(self.flags & FLAG_IDEMPOTENT)
+
+    @property
+    def key(self) -> tuple[int, int]:
+        """Flow and request id, which identify a request at its home."""
+        return (self.flow, self.request)
+
+
+Address = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class Relayed:
+    """A caller's frame passed from one balancer to another.
+
+    `frame` is the encoded frame; `caller` is the address to answer to.
+    """
+
+    hops: int
+    flags: int
+    caller: Address
+    domain: int
+    frame: bytes
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the datagram for a frame.
+
+    Raises
+    ------
+    ValueError
+        If the body is longer than `MAX_BODY_BYTES`.
+    """
+    if len(frame.body) > MAX_BODY_BYTES:
+        raise ValueError(f"body has {len(frame.body)} bytes, limit {MAX_BODY_BYTES}")
+    header = HEADER.pack(
+        MAGIC,
+        VERSION,
+        frame.kind,
+        frame.flags,
+        frame.work_class,
+        frame.attempt,
+        frame.reason,
+        frame.service,
+        frame.flow,
+        frame.request,
+        frame.piece,
+        frame.pieces,
+        frame.total_bytes,
+        frame.deadline_ms,
+        frame.token,
+    )
+    return header + frame.body
+
+
+def decode(datagram: bytes) -> result.Result[Frame, reasons.Reason]:
+    """Return the frame in a datagram, or the reason to drop it."""
+    if len(datagram) < HEADER_BYTES:
+        return result.Failure(reasons.Reason.TRUNCATED)
+    if len(datagram) > MAX_FRAME_BYTES:
+        return result.Failure(reasons.Reason.OVERSIZED)
+    fields = HEADER.unpack_from(datagram)
+    if fields[0] != MAGIC:
+        return result.Failure(reasons.Reason.MALFORMED)
+    if fields[1] != VERSION:
+        return result.Failure(reasons.Reason.UNSUPPORTED_VERSION)
+    kind = KINDS.get(fields[2])
+    if kind is None:
+        return result.Failure(reasons.Reason.UNKNOWN_KIND)
+    work_class = WORK_CLASSES.get(fields[4])
+    if work_class is None:
+        return result.Failure(reasons.Reason.MALFORMED)
+    return result.Success(
+        Frame(
+            kind=kind,
+            flags=fields[3],
+            work_class=work_class,
+            attempt=fields[5],
+            reason=fields[6],
+            service=fields[7],
+            flow=fields[8],
+            request=fields[9],
+            piece=fields[10],
+            pieces=fields[11],
+            total_bytes=fields[12],
+            deadline_ms=fields[13],
+            token=fields[14],
+            body=datagram[HEADER_BYTES:],
+        )
+    )
+
+
+def encode_relayed(relayed: Relayed) -> bytes:
+    """Return the datagram that passes a caller's frame to another balancer."""
+    host, port = relayed.caller
+    packed = ipaddress.ip_address(host).packed
+    if len(packed) == 4:
+        packed = bytes(10) + b"\xff\xff" + packed
+    envelope = RELAY.pack(
+        RELAY_MAGIC, relayed.hops, relayed.flags, packed, port, relayed.domain, 0
+    )
+    return envelope + relayed.frame
+
+
+def decode_relayed(datagram: bytes) -> result.Result[Relayed, reasons.Reason]:
+    """Return the relayed frame in a datagram, or the reason to drop it."""
+    if len(datagram) < RELAY_BYTES + HEADER_BYTES:
+        return result.Failure(reasons.Reason.TRUNCATED)
+    if len(datagram) > RELAY_BYTES + MAX_FRAME_BYTES:
+        return result.Failure(reasons.Reason.OVERSIZED)
+    magic, hops, flags, packed, port, domain, _ = RELAY.unpack_from(datagram)
+    if magic != RELAY_MAGIC:
+        return result.Failure(reasons.Reason.MALFORMED)
+    if hops > MAX_HOPS:
+        return result.Failure(reasons.Reason.TOO_MANY_HOPS)
+    address = ipaddress.IPv6Address(packed)
+    mapped = address.ipv4_mapped
+    caller = (str(mapped if mapped is not None else address), port)
+    return result.Success(Relayed(hops, flags, caller, domain, datagram[RELAY_BYTES:]))
--- /dev/null
+++ b/peerproto/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the targets, and the fabric, for tests and demos."""
