Drop datagrams that waited through a pause; keep relays off the control socket

Cause: a balancer that was paused delivers queued requests late. A new home without records would take such an attempt 0 for a first copy and run the request again. Relayed frames shared a socket with heartbeats, so a backlog could look like death. A repeated handover could replace newer records at a later home. Change: a marker datagram bounds what arrived before a pause ended; relays go to the callers socket; handovers have a serial, add records only where the home knows less, and carry an unresolved former home.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -29,6 +29,7 @@
     metrics,
     objects,
     opening,
+    pauses,
     peering,
     placement,
     platformapi,
@@ -184,27 +185,54 @@
 
     async def serve_callers(self) -> None:
         """Handle the datagrams that come from the fabric."""
+        guard = pauses.PauseGuard(
+            self.callers, settings.split_address(self.settings.listen.callers)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(guard.tick)
+            await self.receive_callers(guard)
+
+    async def receive_callers(self, guard: pauses.PauseGuard) -> None:
+        """Route each frame that is not stale, relayed ones included.
+
+        Relayed frames come to this socket so that they cannot hold up heartbeats.
+        """
         while True:
             datagram, caller = await self.callers.receive()
-            decoded = wire.decode(datagram)
-            if isinstance(decoded, result.Failure):
-                drop(decoded.failure())
-                continue
-            frame = decoded.unwrap()
-            metrics.FRAMES.inc({"kind": frame.kind.name.lower()})
-            await self.route(frame, datagram, caller, hops=0, flags=0)
+            if await guard.is_stale(datagram):
+                drop(reasons.Reason.STALE)
+            elif int.from_bytes(datagram[:2], "big") == wire.RELAY_MAGIC:
+                await self.on_relayed(datagram)
+            else:
+                await self.on_datagram(datagram, caller)
+
+    async def on_datagram(self, datagram: bytes, caller: wire.Address) -> None:
+        """Handle a frame that a caller sent to this host."""
+        decoded = wire.decode(datagram)
+        if isinstance(decoded, result.Failure):
+            drop(decoded.failure())
+            return
+        frame = decoded.unwrap()
+        metrics.FRAMES.inc({"kind": frame.kind.name.lower()})
+        await self.route(frame, datagram, caller, hops=0, flags=0)
 
     async def serve_peers(self) -> None:
         """Handle the datagrams that come from other balancers."""
+        guard = pauses.PauseGuard(
+            self.peers, settings.split_address(self.settings.listen.peers)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(guard.tick)
+            await self.receive_peers(guard)
+
+    async def receive_peers(self, guard: pauses.PauseGuard) -> None:
+        """Handle each control message that is not stale."""
         while True:
             datagram, address = await self.peers.receive()
-            magic = int.from_bytes(datagram[:2], "big")
-            if magic == wire.RELAY_MAGIC:
-                await self.on_relayed(datagram)
-            elif magic == peering.CONTROL_MAGIC:
-                await self.on_control(datagram, address)
+            if await guard.is_stale(datagram):
+                drop(reasons.Reason.STALE)
             else:
-                drop(reasons.Reason.MALFORMED)
+                await self.on_control(datagram, address)
 
     async def on_relayed(self, datagram: bytes) -> None:
         """Handle a caller's frame that another balancer passed on."""
@@ -239,9 +267,9 @@
             return
         relayed = wire.Relayed(hops + 1, flags, caller, 0, datagram)
         metrics.RELAYED.inc({})
-        await self.send_to_peer(
+        await self.callers.sendto(
             peering.seal_relayed(self.codec, relayed),
-            settings.split_address(member.peers),
+            *settings.split_address(member.callers),
         )
 
     # Routing of callers' frames.
@@ -274,7 +302,7 @@
         if flags & RELAY_TO_FORMER:
             drop(await self.homes.on_left_frame(target.id, frame, caller))
             return
-        member = self.home_of(target)
+        member = self.home_of(target, frame.attempt)
         if member is None:
             drop(reasons.Reason.NO_HOME)
         elif member == self.members.me:
@@ -282,15 +310,20 @@
         else:
             await self.relay(member, datagram, caller, hops, flags)
 
-    def home_of(self, target: effective.Target) -> objects.Member | None:
-        """Return the home of a target in any failure domain."""
+    def home_of(
+        self, target: effective.Target, attempt: int = 0
+    ) -> objects.Member | None:
+        """Return the home of a target in any failure domain.
+
+        Any member of another domain passes a frame on to the home there.
+        """
         if target.domain == self.members.domain:
             return self.members.home_of(target.id)
         view = self.store.parsed.get(objects.VIEW_PREFIX + target.domain)
         if not isinstance(view, objects.View):
             return None
         by_host = {member.host: member for member in view.members}
-        name = rendezvous.pick(target.id, by_host)
+        name = rendezvous.pick_next(target.id, by_host, attempt)
         return by_host[name] if name is not None else None
 
     async def serve(
@@ -340,7 +373,7 @@
         if domain is None:
             await self.refuse_open(frame, caller, reasons.Reason.NO_TARGET)
             return
-        owner = self.opener.owner_in(domain, frame.flow)
+        owner = self.opener.owner_in(domain, frame.flow, frame.attempt)
         if owner is None:
             drop(reasons.Reason.NO_HOME)
         elif owner == self.members.me or hops >= wire.MAX_HOPS - 1:
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -15,7 +15,6 @@
     errors,
     logs,
     metrics,
-    objects,
     peering,
     queueing,
     reasons,
@@ -158,17 +157,18 @@
         # Expiry of each flow in Unix milliseconds.
         self.flows: dict[int, int] = {}
         self.running: dict[queueing.Key, Record] = {}
-        # Slots that requests left at a former home still use.
-        self.former_slots = 0
+        # Requests left at a former home that still use a slot there.
+        self.former_running: set[queueing.Key] = set()
         self.work_added = anyio.Event()
         # Monotonic time from which non-idempotent work may be forwarded;
         # infinite while the former home is not known to have lost its right.
         self.authority_at = 0.0
         # Host whose handover is awaited; nothing is forwarded before it.
         self.awaiting_from = ""
-        # Former home whose right may still hold.
-        self.former: objects.Member | None = None
-        self.loaded: tuple[str, int, int] | None = None
+        # Host and incarnation of the former home while its right may still hold.
+        self.former: tuple[str, int] | None = None
+        # Serials of the handovers that were taken.
+        self.loaded: set[int] = set()
         # Unix milliseconds until which a request may be known to a former home only.
         self.incomplete_until_ms = 0
         self.handed_over_to = ""
@@ -285,7 +285,7 @@
     async def admit(self, record: Record, now: int) -> None:
         """Queue a request that has just arrived, or end it."""
         if record.deadline_ms > now + self.context.max_deadline_s * 1000:
-            record.deadline_ms = now
+            record.keep_until_ms = now + int(self.context.max_deadline_s * 1000)
             await self.refuse(record, reasons.Reason.DEADLINE_TOO_FAR)
         elif self.known_to_former_only(record):
             await self.finish(record, RecordState.UNKNOWN, reasons.Reason.HOME_CHANGED)
@@ -399,7 +399,7 @@
         """
         if self.handed_over_to or self.awaiting_from:
             return None
-        if len(self.running) + self.former_slots >= self.target.slots:
+        if self.slots_in_use() >= self.target.slots:
             return None
         passed_over = []
         chosen = None
@@ -424,6 +424,10 @@
             self.running[chosen.key] = chosen
         return chosen
 
+    def slots_in_use(self) -> int:
+        """Return the slots of the target that have work, here or at a former home."""
+        return len(self.running) + len(self.former_running)
+
     def long_running(self) -> int:
         """Return the number of slots that have long work."""
         return sum(
@@ -462,7 +466,7 @@
             )
         errors.invariant(
             "slots_bounded",
-            len(self.running) + self.former_slots <= self.target.slots,
+            self.slots_in_use() <= self.target.slots,
             target=self.target.name,
             running=len(self.running),
         )
@@ -622,6 +626,7 @@
         if anyio.current_time() < self.authority_at < math.inf:
             left_s = self.authority_at - anyio.current_time()
             authority_ms = now_ms() + int(left_s * 1000)
+        former_host, former_incarnation = self.former or ("", 0)
         return ttypes.Handover(
             host=me,
             incarnation=incarnation,
@@ -633,41 +638,60 @@
                 ttypes.FlowEntry(peering.signed(flow), expires)
                 for flow, expires in self.flows.items()
             ],
-            slots_in_use=len(self.running) + self.former_slots,
             authority_ms=authority_ms,
             records_complete=now_ms() >= self.incomplete_until_ms,
+            serial=time.time_ns(),
+            former_host=former_host,
+            former_incarnation=former_incarnation,
         )
 
     async def load(self, handover: typing.Any) -> None:
-        """Continue from a former home's handover."""
+        """Continue from a former home's handover.
+
+        A handover from another host than the awaited one adds records only: its
+        sender was home at an earlier time, and its answer was lost.
+        """
         for part in handover.records:
-            record = import_record(part)
-            mine = self.records.get(record.key)
-            if mine is not None:
-                self.queue.remove(mine.key)
-                record.caller = mine.caller
-            self.records[record.key] = record
+            self.load_record(import_record(part))
         for entry in handover.flows:
             flow = peering.unsigned(entry.flow)
             self.flows[flow] = max(self.flows.get(flow, 0), entry.expires_ms)
-        self.former_slots = handover.slots_in_use
-        self.loaded = (handover.host, handover.incarnation, handover.epoch)
+        self.loaded.add(handover.serial)
+        if handover.host == self.awaiting_from:
+            self.load_rights(handover)
+        for entry in handover.queued:
+            decoded = wire.decode(entry.frame).value_or(None)
+            if decoded is not None and decoded.key not in self.records:
+                await self.on_request(decoded, (entry.caller_host, entry.caller_port))
+        self.work_added.set()
+
+    def load_record(self, record: Record) -> None:
+        """Take over one record, unless this home knows more about the request."""
+        mine = self.records.get(record.key)
+        if mine is not None:
+            if mine.state not in (RecordState.QUEUED, RecordState.WAITING):
+                return
+            self.queue.remove(mine.key)
+            record.caller = mine.caller
+        self.records[record.key] = record
+        if record.state is RecordState.RUNNING:
+            self.former_running.add(record.key)
+
+    def load_rights(self, handover: typing.Any) -> None:
+        """Take over the right to forward, as far as the former home had it."""
         self.former = None
         self.awaiting_from = ""
         self.authority_at = 0.0
-        if handover.authority_ms:
+        if handover.former_host:
+            self.former = (handover.former_host, handover.former_incarnation)
+            self.authority_at = math.inf
+        elif handover.authority_ms:
             left_s = (handover.authority_ms - now_ms()) / 1000
             self.authority_at = anyio.current_time() + left_s
+        self.incomplete_until_ms = 0
         if not handover.records_complete:
             limit_s = self.context.max_deadline_s + DATAGRAM_LIFETIME_S
             self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
-        else:
-            self.incomplete_until_ms = 0
-        for entry in handover.queued:
-            decoded = wire.decode(entry.frame).value_or(None)
-            if decoded is not None and decoded.key not in self.records:
-                await self.on_request(decoded, (entry.caller_host, entry.caller_port))
-        self.work_added.set()
 
     def on_completion(self, message: typing.Any) -> None:
         """Take in the end of a request that a former home was still running."""
@@ -676,7 +700,7 @@
         if record is None or record.former != message.host:
             return
         if record.state is RecordState.RUNNING:
-            self.former_slots = max(0, self.former_slots - 1)
+            self.former_running.discard(record.key)
             record.state = RecordState(message.state)
             record.reason = reasons.from_code(message.reason)
         self.work_added.set()
@@ -685,8 +709,7 @@
         """Free the slots of requests whose former home has died."""
         for record in self.records.values():
             if record.former == host:
-                if record.state is RecordState.RUNNING:
-                    self.former_slots = max(0, self.former_slots - 1)
+                self.former_running.discard(record.key)
                 if record.state in (RecordState.RUNNING, RecordState.ANSWERED):
                     record.state = RecordState.UNKNOWN
                     record.reason = reasons.Reason.HOME_CHANGED
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -71,7 +71,7 @@
         return [
             ttypes.TargetLoad(
                 target=number,
-                in_flight=min(len(entry.running) + entry.former_slots, 32_767),
+                in_flight=min(entry.slots_in_use(), 32_767),
                 queued=min(len(entry.queue), 32_767),
                 flows=len(entry.flows),
                 state=(LOAD_HEALTHY if entry.healthy else 0)
@@ -132,7 +132,7 @@
         entry = home.Home(target, service, self.context)
         self.homes[target.id] = entry
         if former is not None and former != self.members.me:
-            entry.former = former
+            entry.former = (former.host, former.incarnation)
             entry.takeover(math.inf, former.host, complete=False)
         self.update_rights(entry)
         entry.log("home_started", former=former.host if former is not None else "")
@@ -141,28 +141,26 @@
 
     def update_rights(self, entry: home.Home) -> None:
         """Set what a new home may do, by what is known of the former one."""
-        former = entry.former
-        if former is None:
+        if entry.former is None:
             return
-        view = self.members.view
-        if self.members.has_ended(former.host, former.incarnation):
+        host, incarnation = entry.former
+        if self.members.has_ended(host, incarnation):
             entry.former = None
             entry.takeover(0.0, "", complete=False)
-        elif view is not None and former in view.members:
-            withheld = self.members.is_withheld(former.host)
-            entry.takeover(math.inf, "" if withheld else former.host, complete=False)
+        elif (host, incarnation) in self.members.identities():
+            withheld = self.members.is_withheld(host)
+            entry.takeover(math.inf, "" if withheld else host, complete=False)
         else:
             entry.former = None
             entry.takeover(
                 anyio.current_time() + membership.TAKEOVER_WAIT_S, "", complete=False
             )
-            entry.log("takeover", former=former.host)
+            entry.log("takeover", former=host)
             metrics.HANDOVERS.inc({"direction": "in", "outcome": "takeover"})
 
     def check_formers(self) -> None:
         """Give up requests left at former homes that have died."""
-        view = self.members.view
-        present = {m.host for m in view.members} if view is not None else set()
+        present = {host for host, _ in self.members.identities()}
         for entry in self.homes.values():
             hosts = {record.former for record in entry.records.values()}
             for host in hosts - present - {""}:
@@ -242,15 +240,12 @@
 
     async def on_handover(self, message: typing.Any) -> reasons.Reason:
         """Take over a target from its former home; a reason refuses it."""
-        view = self.members.view
-        senders = {(m.host, m.incarnation) for m in (view.members if view else ())}
-        if (message.host, message.incarnation) not in senders:
+        if (message.host, message.incarnation) not in self.members.identities():
             return reasons.Reason.UNKNOWN_PEER
         entry = self.homes.get(message.target)
         if entry is None:
             return reasons.Reason.NO_HOME
-        sent = (message.host, message.incarnation, message.epoch)
-        if entry.loaded != sent:
+        if message.serial not in entry.loaded:
             await entry.load(message)
             entry.log("handover_taken", former=message.host)
             metrics.HANDOVERS.inc({"direction": "in", "outcome": "accepted"})
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import dataclasses
+import random
 import time
 import typing
 
@@ -151,6 +152,11 @@
         """Tell whether the adopted view holds this incarnation."""
         return self.view is not None and self.me in self.view.members
 
+    def identities(self) -> set[tuple[str, int]]:
+        """Return host and incarnation of each member of the view."""
+        members = self.view.members if self.view is not None else ()
+        return {(member.host, member.incarnation) for member in members}
+
     def members(self) -> dict[str, objects.Member]:
         """Return the members of the view that have not ended, by host."""
         if self.view is None:
@@ -244,7 +250,7 @@
             self.carried_lease = 0.0
             self.full = False
             self.me = self.me.model_copy(update={"incarnation": new_incarnation()})
-        current = {(m.host, m.incarnation) for m in view.members}
+        current = self.identities()
         for host, incarnation in self.ended:
             self.note_ended(host, incarnation)
         self.ended &= current
@@ -342,7 +348,8 @@
                 if not self.is_member() and not self.leaving:
                     await self.join()
                 self.check_full()
-                await anyio.sleep(JOIN_RETRY_S)
+                # Jitter keeps hosts that join together from colliding again.
+                await anyio.sleep(JOIN_RETRY_S * random.uniform(0.2, 1.0))
 
     async def join(self) -> None:
         """Add this host to the view of its domain."""
@@ -486,8 +493,7 @@
     def mark_ended(self, host: str, incarnation: int) -> None:
         """Record the proof that a member of the view runs no more work."""
         key = (host, incarnation)
-        members = self.view.members if self.view is not None else ()
-        if key in self.ended or all((m.host, m.incarnation) != key for m in members):
+        if key in self.ended or key not in self.identities():
             return
         self.ended.add(key)
         self.note_ended(host, incarnation)
--- a/basilgate/opening.py
+++ b/basilgate/opening.py
@@ -87,8 +87,11 @@
                 weights[target.domain] = weight + target.weight
         return rendezvous.pick_weighted(frame.flow, weights)
 
-    def owner_in(self, domain: str, flow: int) -> objects.Member | None:
-        """Return the member of a domain that decides on an open."""
+    def owner_in(self, domain: str, flow: int, attempt: int) -> objects.Member | None:
+        """Return the member of a domain that decides on an open.
+
+        Any member of another domain passes an open on to its owner there.
+        """
         if domain == self.members.domain:
             members = self.members.members()
             name = rendezvous.pick(flow, self.members.staying() or members)
@@ -97,7 +100,7 @@
         if not isinstance(view, objects.View):
             return None
         by_host = {member.host: member for member in view.members}
-        name = rendezvous.pick(flow, by_host)
+        name = rendezvous.pick_next(flow, by_host, attempt)
         return by_host[name] if name is not None else None
 
     # The decision.
--- a/basilgate/reasons.py
+++ b/basilgate/reasons.py
@@ -23,6 +23,8 @@
     TOO_MANY_HOPS = 9
     UNEXPECTED_KIND = 10
     DUPLICATE = 11
+    # Waited in a socket of this host while the process was paused.
+    STALE = 12
 
     # Tokens that do not admit a packet.
     TOKEN_FORGED = 20
--- a/basilgate/rendezvous.py
+++ b/basilgate/rendezvous.py
@@ -23,6 +23,17 @@
     return max(names, key=lambda name: (score(key, name), name), default=None)
 
 
+def pick_next(
+    key: int, names: collections.abc.Iterable[str], attempt: int
+) -> str | None:
+    """Return the name of rank `attempt`, counted round, None without names.
+
+    A retransmission that goes to the next rank gets past a host that has died.
+    """
+    ranked = rank(key, names)
+    return ranked[attempt % len(ranked)] if ranked else None
+
+
 def pick_weighted(key: int, weights: collections.abc.Mapping[str, float]) -> str | None:
     """Return one name, chosen in proportion to its weight.
 
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -101,10 +101,14 @@
   5: required list<RequestRecord> records,
   6: required list<QueuedRequest> queued,
   7: required list<FlowEntry> flows,
-  8: required i32 slots_in_use,
   // Unix time in milliseconds before which non-idempotent work must wait; 0: none.
-  9: required i64 authority_ms,
-  10: required bool records_complete,
+  8: required i64 authority_ms,
+  9: required bool records_complete,
+  // Tells a repeated message from a new one.
+  10: required i64 serial,
+  // Former home whose right may still hold; empty if none.
+  11: required string former_host,
+  12: required i64 former_incarnation,
 }
 
 // Tells the new home that a request still running at the former home ended.
--- a/peerproto/ttypes.py
+++ b/peerproto/ttypes.py
@@ -1353,9 +1353,11 @@
      - records
      - queued
      - flows
-     - slots_in_use
      - authority_ms
      - records_complete
+     - serial
+     - former_host
+     - former_incarnation
 
     """
 
@@ -1367,13 +1369,15 @@
         'records',
         'queued',
         'flows',
-        'slots_in_use',
         'authority_ms',
         'records_complete',
+        'serial',
+        'former_host',
+        'former_incarnation',
     )
 
 
-    def __init__(self, host=None, incarnation=None, epoch=None, target=None, records=None, queued=None, flows=None, slots_in_use=None, authority_ms=None, records_complete=None,):
+    def __init__(self, host=None, incarnation=None, epoch=None, target=None, records=None, queued=None, flows=None, authority_ms=None, records_complete=None, serial=None, former_host=None, former_incarnation=None,):
         self.host = host
         self.incarnation = incarnation
         self.epoch = epoch
@@ -1381,9 +1385,11 @@
         self.records = records
         self.queued = queued
         self.flows = flows
-        self.slots_in_use = slots_in_use
         self.authority_ms = authority_ms
         self.records_complete = records_complete
+        self.serial = serial
+        self.former_host = former_host
+        self.former_incarnation = former_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1448,20 +1454,30 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.I32:
-                    self.slots_in_use = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
                 if ftype == TType.I64:
                     self.authority_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
+            elif fid == 9:
                 if ftype == TType.BOOL:
                     self.records_complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.serial = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.former_host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.former_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1509,18 +1525,26 @@
                 iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.slots_in_use is not None:
-            oprot.writeFieldBegin('slots_in_use', TType.I32, 8)
-            oprot.writeI32(self.slots_in_use)
-            oprot.writeFieldEnd()
         if self.authority_ms is not None:
-            oprot.writeFieldBegin('authority_ms', TType.I64, 9)
+            oprot.writeFieldBegin('authority_ms', TType.I64, 8)
             oprot.writeI64(self.authority_ms)
             oprot.writeFieldEnd()
         if self.records_complete is not None:
-            oprot.writeFieldBegin('records_complete', TType.BOOL, 10)
+            oprot.writeFieldBegin('records_complete', TType.BOOL, 9)
             oprot.writeBool(self.records_complete)
             oprot.writeFieldEnd()
+        if self.serial is not None:
+            oprot.writeFieldBegin('serial', TType.I64, 10)
+            oprot.writeI64(self.serial)
+            oprot.writeFieldEnd()
+        if self.former_host is not None:
+            oprot.writeFieldBegin('former_host', TType.STRING, 11)
+            oprot.writeString(self.former_host.encode('utf-8') if sys.version_info[0] == 2 else self.former_host)
+            oprot.writeFieldEnd()
+        if self.former_incarnation is not None:
+            oprot.writeFieldBegin('former_incarnation', TType.I64, 12)
+            oprot.writeI64(self.former_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1539,12 +1563,16 @@
             raise TProtocolException(message='Required field queued is unset!')
         if self.flows is None:
             raise TProtocolException(message='Required field flows is unset!')
-        if self.slots_in_use is None:
-            raise TProtocolException(message='Required field slots_in_use is unset!')
         if self.authority_ms is None:
             raise TProtocolException(message='Required field authority_ms is unset!')
         if self.records_complete is None:
             raise TProtocolException(message='Required field records_complete is unset!')
+        if self.serial is None:
+            raise TProtocolException(message='Required field serial is unset!')
+        if self.former_host is None:
+            raise TProtocolException(message='Required field former_host is unset!')
+        if self.former_incarnation is None:
+            raise TProtocolException(message='Required field former_incarnation is unset!')
         return
 
     def __repr__(self):
@@ -2163,9 +2191,11 @@
     (5, TType.LIST, 'records', (TType.STRUCT, [RequestRecord, None], False), None, ),  # 5
     (6, TType.LIST, 'queued', (TType.STRUCT, [QueuedRequest, None], False), None, ),  # 6
     (7, TType.LIST, 'flows', (TType.STRUCT, [FlowEntry, None], False), None, ),  # 7
-    (8, TType.I32, 'slots_in_use', None, None, ),  # 8
-    (9, TType.I64, 'authority_ms', None, None, ),  # 9
-    (10, TType.BOOL, 'records_complete', None, None, ),  # 10
+    (8, TType.I64, 'authority_ms', None, None, ),  # 8
+    (9, TType.BOOL, 'records_complete', None, None, ),  # 9
+    (10, TType.I64, 'serial', None, None, ),  # 10
+    (11, TType.STRING, 'former_host', 'UTF8', None, ),  # 11
+    (12, TType.I64, 'former_incarnation', None, None, ),  # 12
 )
 all_structs.append(Completion)
 Completion.thrift_spec = (
