Push the difference of a view; check a peer's death when it is due

Cause: in a domain of 69 members a death took 6.1 s of virtual time to reach every survivor. The pushed view (13 KB) was over the datagram limit, the death was checked once an interval only, and writers waited up to 3.4 s for their turn. Change: peers get the difference of the view, the task of a peer wakes at its deadline, and the stagger of writers is at most 0.3 s.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -18,6 +18,7 @@
 
 from basilgate import (
     admin,
+    clock,
     configsync,
     datagrams,
     effective,
@@ -287,7 +288,7 @@
             await self.on_open(frame, datagram, caller, hops)
             return
         verified = tokens.verify(
-            self.ring, frame.token, frame.flow, frame.service, time.time()
+            self.ring, frame.token, frame.flow, frame.service, clock.unix_s()
         )
         if isinstance(verified, result.Failure):
             drop(verified.failure())
@@ -582,7 +583,7 @@
             await anyio.sleep(UPKEEP_S)
             self.opener.forget()
             expiry = self.effective.next_expiry_s
-            if expiry is not None and expiry <= time.time():
+            if expiry is not None and expiry <= clock.unix_s():
                 self.load_config()
 
     async def run(self) -> None:
--- a/basilgate/client.py
+++ b/basilgate/client.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import random
-import time
 import types
 import typing
 
@@ -10,7 +9,7 @@
 import anyio.abc
 from returns import result
 
-from basilgate import datagrams, reasons, wire
+from basilgate import clock, datagrams, reasons, wire
 
 OPEN_RETRANSMIT_S = 0.2
 REQUEST_RETRANSMIT_S = 0.25
@@ -93,7 +92,7 @@
 
 def now_ms() -> int:
     """Return Unix time in milliseconds."""
-    return int(time.time() * 1000)
+    return clock.unix_ms()
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/basilgate/clock.py
@@ -0,0 +1,16 @@
+"""Wall clock of the process, in one place so that tests can replace it.
+
+Time that must not jump (leases, timeouts) comes from `anyio.current_time`.
+"""
+
+import time
+
+
+def unix_s() -> float:
+    """Return Unix time in seconds."""
+    return time.time()
+
+
+def unix_ms() -> int:
+    """Return Unix time in milliseconds."""
+    return int(unix_s() * 1000)
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -11,6 +11,7 @@
 import logbook
 
 from basilgate import (
+    clock,
     effective,
     errors,
     logs,
@@ -130,7 +131,7 @@
 
 def now_ms() -> int:
     """Return Unix time in milliseconds."""
-    return int(time.time() * 1000)
+    return clock.unix_ms()
 
 
 class Home:
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -29,6 +29,14 @@
 HANDOVER_RETRY_S = 0.1
 UPKEEP_S = 0.25
 
+Call = collections.abc.Callable[
+    [peering.Codec, tuple[str, int], str, typing.Any],
+    collections.abc.Awaitable[result.Result[tuple[str, typing.Any], reasons.Reason]],
+]
+ServeSlot = collections.abc.Callable[
+    [home.Home, int], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+
 LOAD_HEALTHY = 1
 LOAD_DRAINING = 2
 
@@ -62,6 +70,9 @@
         self.assignment: dict[int, objects.Member] = {}
         self.tasks: anyio.abc.TaskGroup | None = None
         self.incarnation = members.me.incarnation
+        # Replaced in tests that use no sockets.
+        self.call: Call = peering.call
+        self.serve_slot: ServeSlot = slots.serve
         self.on_started: collections.abc.Callable[[home.Home], None] = lambda _: None
 
     # Queries.
@@ -172,7 +183,7 @@
         with entry.scope:
             async with anyio.create_task_group() as tasks:
                 for number in range(entry.target.slots):
-                    tasks.start_soon(slots.serve, entry, number)
+                    tasks.start_soon(self.serve_slot, entry, number)
                 while True:
                     await entry.expire()
                     await anyio.sleep(UPKEEP_S)
@@ -216,7 +227,7 @@
                 await self.take_back(entry, handover)
                 return
             address = settings.split_address(member.peers)
-            answer = await peering.call(self.codec, address, "handover", handover)
+            answer = await self.call(self.codec, address, "handover", handover)
             if accepted(answer):
                 entry.handed_over_to = member.host
                 entry.log("handed_over", to=member.host)
@@ -276,7 +287,7 @@
             if member is None or member == self.members.me:
                 return
             address = settings.split_address(member.peers)
-            answer = await peering.call(self.codec, address, "completion", message)
+            answer = await self.call(self.codec, address, "completion", message)
             if accepted(answer):
                 return
             await anyio.sleep(HANDOVER_RETRY_S)
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -12,6 +12,7 @@
 import anyio
 import anyio.abc
 import logbook
+import pydantic
 from returns import result
 
 from basilgate import (
@@ -44,6 +45,8 @@
 # The last heartbeat is repeated because a datagram can be lost.
 FAREWELL_COPIES = 3
 FAREWELL_PAUSE_S = 0.02
+REMOVAL_STAGGER_S = 0.05
+MAX_REMOVAL_STAGGER_S = 0.3
 MICROSECONDS = 1_000_000
 
 Send = collections.abc.Callable[
@@ -120,6 +123,7 @@
         self.platform = platform
         self.codec = codec
         self.send = send
+        self.rng = random.Random(me.incarnation)
         self.view: objects.View | None = None
         self.peers: dict[str, Peer] = {}
         self.ended: set[tuple[str, int]] = set()
@@ -300,8 +304,11 @@
         )
         if isinstance(answer, result.Success):
             logs.event(LOGGER.info, "view_written", epoch=view.epoch, why=why)
-            self.store.apply(answer.unwrap())
-            await self.push_view()
+            written = answer.unwrap()
+            former = self.view
+            self.store.apply(written)
+            if held is not None and former is not None:
+                await self.push_view(former, held.version, written)
             return True
         logs.event(
             LOGGER.info,
@@ -322,17 +329,30 @@
             return True
         return answer.failure().kind is platformapi.ProblemKind.NOT_FOUND
 
-    async def push_view(self) -> None:
-        """Send the adopted view to the other members at once."""
-        stored = self.store.stored.get(self.view_name)
-        if stored is None:
+    async def push_view(
+        self, former: objects.View, base_version: int, written: objects.StoredObject
+    ) -> None:
+        """Send the difference of a view that this host wrote to the members."""
+        view = self.store.parsed.get(self.view_name)
+        if not isinstance(view, objects.View) or written.value is None:
             return
+        hosts = {member.host for member in view.members}
         message = ttypes.ViewChanged(
-            self.me.host, self.me.incarnation, peering.to_thrift(stored)
+            host=self.me.host,
+            incarnation=self.me.incarnation,
+            base_version=base_version,
+            version=written.version,
+            revision=written.revision,
+            epoch=view.epoch,
+            operation=view.operation,
+            removed=[m.host for m in former.members if m.host not in hosts],
+            added=[
+                member.model_dump_json()
+                for member in view.members
+                if member not in former.members
+            ],
         )
         datagram = self.codec.encode("view_changed", message)
-        if len(datagram) > peering.MAX_CONTROL_DATAGRAM_BYTES:
-            return
         for peer in list(self.peers.values()):
             await self.send(datagram, peer.address)
 
@@ -349,7 +369,7 @@
                     await self.join()
                 self.check_full()
                 # Jitter keeps hosts that join together from colliding again.
-                await anyio.sleep(JOIN_RETRY_S * random.uniform(0.2, 1.0))
+                await anyio.sleep(JOIN_RETRY_S * self.rng.uniform(0.2, 1.0))
 
     async def join(self) -> None:
         """Add this host to the view of its domain."""
@@ -388,7 +408,10 @@
                     # taking effect after the echo is given again.
                     await self.write_view(self.view.members, "invalidate_removal")
                 members = len(self.view.members) if self.view is not None else 1
-                await anyio.sleep(interval_s(members))
+                next_at = anyio.current_time() + interval_s(members)
+                if anyio.current_time() < peer.dead_at:
+                    next_at = min(next_at, peer.dead_at)
+                await anyio.sleep_until(next_at)
 
     async def send_heartbeat(self, peer: Peer) -> None:
         """Send one heartbeat; the echo is withheld from a peer held for dead."""
@@ -420,7 +443,7 @@
         alive = [name for name in self.members() if self.is_alive(name)]
         order = rendezvous.rank(self.epoch, alive).index(self.me.host)
         epoch = self.epoch
-        await anyio.sleep(0.05 * order)
+        await anyio.sleep(min(REMOVAL_STAGGER_S * order, MAX_REMOVAL_STAGGER_S))
         if self.epoch != epoch or self.view is None:
             return
         dead = {
@@ -506,10 +529,30 @@
         self.ended_incarnations[host] = max(known, incarnation)
 
     def on_view_changed(self, message: typing.Any) -> None:
-        """Adopt a view that a peer pushed."""
-        stored = peering.from_thrift(message.view)
-        if stored is not None and stored.name == self.view_name:
-            self.store.apply(stored)
+        """Adopt a view of which a peer pushed the difference."""
+        held = self.store.stored.get(self.view_name)
+        if held is None or self.view is None or held.version != message.base_version:
+            return
+        try:
+            added = [objects.Member.model_validate_json(text) for text in message.added]
+        except pydantic.ValidationError:
+            return
+        replaced = {*message.removed, *(member.host for member in added)}
+        kept = [m for m in self.view.members if m.host not in replaced]
+        view = objects.View(
+            domain=self.domain,
+            epoch=message.epoch,
+            members=(*kept, *added),
+            operation=message.operation,
+        )
+        self.store.apply(
+            objects.StoredObject(
+                self.view_name,
+                message.version,
+                message.revision,
+                view.model_dump(mode="json"),
+            )
+        )
 
 
 def new_incarnation() -> int:
--- a/basilgate/opening.py
+++ b/basilgate/opening.py
@@ -3,13 +3,13 @@
 import collections.abc
 import dataclasses
 import random
-import time
 import typing
 
 import anyio
 from returns import result
 
 from basilgate import (
+    clock,
     effective,
     homes,
     membership,
@@ -180,7 +180,7 @@
             target.service,
             target.id,
             self.config.domain_numbers.get(target.domain, 0),
-            int(time.time()) + self.token_lifetime_s,
+            int(clock.unix_s()) + self.token_lifetime_s,
         )
         return tokens.mint(self.ring, claims, flow)
 
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -122,11 +122,19 @@
   7: required i8 reason,
 }
 
-// A view that the sender adopted, pushed to the members at once.
+// A change of the domain view that the sender wrote, pushed to the members at once.
+// It carries the difference, since a view of 69 members does not fit a datagram.
 struct ViewChanged {
   1: required string host,
   2: required i64 incarnation,
-  3: required StoredObject view,
+  3: required i64 base_version,
+  4: required i64 version,
+  5: required i64 revision,
+  6: required i64 epoch,
+  7: required string operation,
+  8: required list<string> removed,
+  // Added members as JSON text.
+  9: required list<string> added,
 }
 
 struct Acknowledgement {
--- a/peerproto/ttypes.py
+++ b/peerproto/ttypes.py
@@ -1753,21 +1753,39 @@
     Attributes:
      - host
      - incarnation
-     - view
+     - base_version
+     - version
+     - revision
+     - epoch
+     - operation
+     - removed
+     - added
 
     """
 
     __slots__ = (
         'host',
         'incarnation',
-        'view',
+        'base_version',
+        'version',
+        'revision',
+        'epoch',
+        'operation',
+        'removed',
+        'added',
     )
 
 
-    def __init__(self, host=None, incarnation=None, view=None,):
+    def __init__(self, host=None, incarnation=None, base_version=None, version=None, revision=None, epoch=None, operation=None, removed=None, added=None,):
         self.host = host
         self.incarnation = incarnation
-        self.view = view
+        self.base_version = base_version
+        self.version = version
+        self.revision = revision
+        self.epoch = epoch
+        self.operation = operation
+        self.removed = removed
+        self.added = added
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1789,9 +1807,48 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRUCT:
-                    self.view = StoredObject()
-                    self.view.read(iprot)
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.operation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.removed = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.added = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.added.append(_elem67)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1812,9 +1869,39 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.view is not None:
-            oprot.writeFieldBegin('view', TType.STRUCT, 3)
-            self.view.write(oprot)
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 3)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 5)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 6)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.operation is not None:
+            oprot.writeFieldBegin('operation', TType.STRING, 7)
+            oprot.writeString(self.operation.encode('utf-8') if sys.version_info[0] == 2 else self.operation)
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.removed))
+            for iter68 in self.removed:
+                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.added is not None:
+            oprot.writeFieldBegin('added', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.added))
+            for iter69 in self.added:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1824,8 +1911,20 @@
             raise TProtocolException(message='Required field host is unset!')
         if self.incarnation is None:
             raise TProtocolException(message='Required field incarnation is unset!')
-        if self.view is None:
-            raise TProtocolException(message='Required field view is unset!')
+        if self.base_version is None:
+            raise TProtocolException(message='Required field base_version is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.operation is None:
+            raise TProtocolException(message='Required field operation is unset!')
+        if self.removed is None:
+            raise TProtocolException(message='Required field removed is unset!')
+        if self.added is None:
+            raise TProtocolException(message='Required field added is unset!')
         return
 
     def __repr__(self):
@@ -2213,7 +2312,13 @@
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRUCT, 'view', [StoredObject, None], None, ),  # 3
+    (3, TType.I64, 'base_version', None, None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.I64, 'revision', None, None, ),  # 5
+    (6, TType.I64, 'epoch', None, None, ),  # 6
+    (7, TType.STRING, 'operation', 'UTF8', None, ),  # 7
+    (8, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'added', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(Acknowledgement)
 Acknowledgement.thrift_spec = (
--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,387 @@
+"""Platform and network in memory, for tests of several members in one process."""
+
+import collections
+import collections.abc
+import dataclasses
+import random
+import typing
+
+import anyio
+import anyio.abc
+from returns import result
+
+from basilgate import (
+    clock,
+    effective,
+    home,
+    homes,
+    membership,
+    objects,
+    peering,
+    platformapi,
+    queueing,
+    reasons,
+    replica,
+    settings,
+    wire,
+)
+from peerproto import ttypes
+
+DOMAIN = "d1"
+CALLER = ("127.0.0.1", 9)
+
+Problem = platformapi.Problem
+ProblemKind = platformapi.ProblemKind
+
+
+class MemoryPlatform:
+    """Object store with conditional writes.
+
+    `down` refuses calls, `lose_answers` drops that many answers after the write,
+    `delay_s` delays each call.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, objects.StoredObject] = {}
+        self.revision = 0
+        self.down = False
+        self.lose_answers = 0
+        self.delay_s = 0.0
+        self.writes = 0
+
+    async def get(self, name: str) -> result.Result[objects.StoredObject, Problem]:
+        """Return one object."""
+        await anyio.sleep(self.delay_s + 0.002)
+        if self.down:
+            return result.Failure(Problem(ProblemKind.UNAVAILABLE))
+        held = self.objects.get(name)
+        if held is None:
+            return result.Failure(Problem(ProblemKind.NOT_FOUND))
+        return result.Success(held)
+
+    async def put(
+        self,
+        name: str,
+        value: collections.abc.Mapping[str, typing.Any],
+        expect_version: int,
+    ) -> result.Result[objects.StoredObject, Problem]:
+        """Write an object if its version is the expected one."""
+        await anyio.sleep(self.delay_s + 0.002)
+        if self.down:
+            return result.Failure(Problem(ProblemKind.UNAVAILABLE))
+        held = self.objects.get(name)
+        version = held.version if held is not None else 0
+        if version != expect_version:
+            return result.Failure(Problem(ProblemKind.CONFLICT, name, version))
+        self.revision += 1
+        self.writes += 1
+        stored = objects.StoredObject(name, version + 1, self.revision, value)
+        self.objects[name] = stored
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return result.Failure(Problem(ProblemKind.OUTCOME_UNKNOWN, name))
+        return result.Success(stored)
+
+
+@dataclasses.dataclass(slots=True)
+class MemoryTarget:
+    """Target that takes `work_s` for each request and notes what it starts."""
+
+    work_s: float = 0.02
+    running: int = 0
+    peak: int = 0
+    starts: collections.Counter[tuple[int, int]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    async def run(self, frame: wire.Frame) -> bool:
+        """Run a request; False if it came after its start-by time."""
+        if clock.unix_ms() > frame.deadline_ms:
+            return False
+        self.starts[frame.key] += 1
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        try:
+            await anyio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+        return True
+
+
+class Node:
+    """One balancer of a failure domain: its membership and its homes.
+
+    A paused node neither sends nor receives, and its tasks make no progress that
+    others could see.
+    """
+
+    def __init__(self, network: "MemoryNetwork", name: str, number: int) -> None:
+        self.network = network
+        self.name = name
+        self.address = (f"127.0.0.{number}", 7001)
+        self.store = replica.Replica()
+        self.scope = anyio.CancelScope()
+        self.paused = False
+        me = objects.Member(
+            host=name,
+            incarnation=network.next_incarnation(),
+            callers=f"127.0.0.{number}:7000",
+            peers=f"127.0.0.{number}:7001",
+            admin=f"127.0.0.{number}:7002",
+        )
+        self.members = membership.Membership(
+            me,
+            DOMAIN,
+            self.store,
+            typing.cast(platformapi.PlatformClient, NodePlatform(self)),
+            network.codec,
+            self.send,
+        )
+        context = home.Context(
+            send=self.send_to_caller,
+            lease_until=self.members.lease_until,
+            retry=self.retry,
+            report=self.report,
+            make_queue=queueing.ClassedDeadlineQueue,
+            max_deadline_s=60.0,
+            max_answer_bytes=1 << 20,
+            flow_idle_s=120.0,
+        )
+        self.homes = homes.Homes(self.members, context, network.codec)
+        self.homes.call = self.call
+        self.homes.serve_slot = self.serve_slot
+        self.members.on_change = self.on_change
+        self.members.loads = self.homes.loads
+
+    def on_change(self) -> None:
+        """Follow a change of the view."""
+        self.homes.reassign(self.network.config)
+
+    async def run(self) -> None:
+        """Run until the node is killed."""
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                self.homes.tasks = tasks
+                self.homes.reassign(self.network.config)
+                await self.members.run()
+
+    async def send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send a control datagram through the network."""
+        self.network.deliver(self, datagram, address)
+
+    async def send_to_caller(self, frame: wire.Frame, caller: wire.Address) -> None:
+        """Note an outcome that reaches the caller."""
+        del caller
+        if not self.paused and self.network.nodes.get(self.address) is self:
+            self.network.outcomes.setdefault(frame.key, []).append(frame)
+
+    async def retry(self, entry: home.Home, record: home.Record) -> bool:
+        """Leave retries out."""
+        del entry, record
+        return False
+
+    async def report(self, entry: home.Home, record: home.Record) -> None:
+        """Tell the new home about the end of a request."""
+        await self.homes.report(entry, record)
+
+    async def call(
+        self,
+        codec: peering.Codec,
+        address: tuple[str, int],
+        field: str,
+        message: typing.Any,
+    ) -> result.Result[tuple[str, typing.Any], reasons.Reason]:
+        """Make a call between balancers."""
+        await anyio.sleep(0.002)
+        peer = self.network.reachable(self, address)
+        if peer is None:
+            await anyio.sleep(0.5)
+            return result.Failure(reasons.Reason.NO_REPLY)
+        _, copy = codec.decode(codec.encode(field, message)).unwrap()
+        if field == "handover":
+            refused = await peer.homes.on_handover(copy)
+        else:
+            refused = peer.homes.on_completion(copy)
+        await anyio.sleep(0.002)
+        if self.network.reachable(self, address) is None:
+            return result.Failure(reasons.Reason.NO_REPLY)
+        reply = ttypes.Acknowledgement(refused is reasons.Reason.NONE, int(refused))
+        return result.Success(("acknowledgement", reply))
+
+    async def serve_slot(self, entry: home.Home, number: int) -> None:
+        """Run requests of one slot at the target in memory."""
+        del number
+        target = self.network.targets[entry.target.id]
+        while True:
+            record = await entry.next_work()
+            frame = entry.forwarding(record)
+            while self.paused:
+                await anyio.sleep(0.01)
+            if await target.run(frame):
+                record.answer = home.Answer([b"answer"], 1, 6, 6)
+                await entry.finish(record, home.RecordState.ANSWERED)
+            else:
+                record.forwarded = False
+                await entry.refuse(record, reasons.Reason.START_BY_PASSED)
+
+    def receive(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        """Handle a control message."""
+        field, message = self.network.codec.decode(datagram).unwrap()
+        if field == "heartbeat":
+            self.members.on_heartbeat(message, sender)
+        elif field == "view_changed":
+            self.members.on_view_changed(message)
+
+    async def request(self, target: int, frame: wire.Frame, hops: int = 0) -> None:
+        """Bring a caller's frame to the target's home, as the balancer does."""
+        if self.paused:
+            return
+        member = self.members.home_of(target)
+        if member is None:
+            return
+        if member == self.members.me:
+            entry = self.homes.homes.get(target)
+            if entry is not None and not self.homes.former_of(target, frame):
+                await entry.on_frame(frame, CALLER)
+        elif hops < wire.MAX_HOPS:
+            peer = self.network.reachable(self, settings.split_address(member.peers))
+            if peer is not None:
+                await anyio.sleep(0.001)
+                await peer.request(target, frame, hops + 1)
+
+
+class NodePlatform:
+    """The platform as one node reaches it."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    async def get(self, name: str) -> result.Result[objects.StoredObject, Problem]:
+        """Return one object."""
+        if self.node.paused or self.node.name in self.node.network.off_platform:
+            return result.Failure(Problem(ProblemKind.UNAVAILABLE))
+        return await self.node.network.platform.get(name)
+
+    async def put(
+        self,
+        name: str,
+        value: collections.abc.Mapping[str, typing.Any],
+        expect_version: int,
+    ) -> result.Result[objects.StoredObject, Problem]:
+        """Write an object if its version is the expected one."""
+        if self.node.paused or self.node.name in self.node.network.off_platform:
+            return result.Failure(Problem(ProblemKind.UNAVAILABLE))
+        return await self.node.network.platform.put(name, value, expect_version)
+
+
+class MemoryNetwork:
+    """Nodes of one failure domain, with delays, losses, and cuts between them.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of delays and losses.
+    targets : int
+        Number of targets of the domain.
+    """
+
+    def __init__(self, seed: int, targets: int = 3) -> None:
+        self.platform = MemoryPlatform()
+        self.codec = peering.Codec(bytes(32))
+        self.rng = random.Random(seed)
+        self.nodes: dict[tuple[str, int], Node] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.off_platform: set[str] = set()
+        self.loss = 0.0
+        self.incarnations = 0
+        self.outcomes: dict[tuple[int, int], list[wire.Frame]] = {}
+        self.targets = {number: MemoryTarget() for number in range(1, targets + 1)}
+        self.config = make_config(targets)
+        self.tasks: anyio.abc.TaskGroup | None = None
+
+    def next_incarnation(self) -> int:
+        """Return a higher incarnation than all before."""
+        self.incarnations += 1
+        return self.incarnations
+
+    def start(self, name: str, number: int) -> Node:
+        """Start a node that joins; one at the same address is replaced."""
+        node = Node(self, name, number)
+        self.nodes[node.address] = node
+        assert self.tasks is not None
+        self.tasks.start_soon(node.run)
+        return node
+
+    async def start_members(self, count: int) -> None:
+        """Start nodes that are members of the first view."""
+        nodes = [Node(self, f"h{n}", n) for n in range(1, count + 1)]
+        view = objects.View(
+            domain=DOMAIN, epoch=1, members=tuple(node.members.me for node in nodes)
+        )
+        name = objects.VIEW_PREFIX + DOMAIN
+        written = await self.platform.put(name, view.model_dump(mode="json"), 0)
+        assert self.tasks is not None
+        for node in nodes:
+            self.nodes[node.address] = node
+            node.store.apply(written.unwrap())
+            self.tasks.start_soon(node.run)
+
+    def kill(self, node: Node) -> None:
+        """End a node without warning."""
+        node.scope.cancel()
+        self.nodes.pop(node.address, None)
+
+    def cut(self, one: Node, other: Node) -> None:
+        """Stop everything between two nodes."""
+        self.cuts.add(frozenset((one.name, other.name)))
+
+    def reachable(self, source: Node, address: tuple[str, int]) -> Node | None:
+        """Return the node at an address if both ends run and no cut is between."""
+        target = self.nodes.get(address)
+        if target is None or target.paused or source.paused:
+            return None
+        if frozenset((target.name, source.name)) in self.cuts:
+            return None
+        return target
+
+    def deliver(self, source: Node, datagram: bytes, address: tuple[str, int]) -> None:
+        """Deliver a datagram after a short delay, unless it is lost."""
+        if self.reachable(source, address) is None or self.rng.random() < self.loss:
+            return
+        assert self.tasks is not None
+        self.tasks.start_soon(self.arrive, source, datagram, address)
+
+    async def arrive(
+        self, source: Node, datagram: bytes, address: tuple[str, int]
+    ) -> None:
+        """Hand a datagram over once its delay is past."""
+        await anyio.sleep(self.rng.uniform(0.0005, 0.0015))
+        target = self.nodes.get(address)
+        if target is not None and not target.paused:
+            target.receive(datagram, source.address)
+
+
+def make_config(targets: int) -> effective.EffectiveConfig:
+    """Return a configuration with one service and some targets."""
+    config = effective.EffectiveConfig()
+    config.services[1] = effective.Service("desk", 1, "short", 64, 0.999, 1000.0)
+    config.service_ids["desk"] = 1
+    for number in range(1, targets + 1):
+        target = effective.Target(
+            name=f"desk-{number}",
+            id=number,
+            service=1,
+            domain=DOMAIN,
+            address=("127.0.0.1", 1),
+            admin=("127.0.0.1", 2),
+            slots=3,
+            connections=2_000,
+            weight=100,
+            admits=True,
+            leaving=False,
+            pinned=False,
+        )
+        config.targets[number] = target
+        config.by_service.setdefault(1, []).append(target)
+        config.by_domain.setdefault(DOMAIN, []).append(target)
+    return config
