Close three ways in which a request could run twice after a takeover

(1) A member whose peers had all restarted needed no echo any more, so nothing ended its lease although newer members had replaced it. (2) A new home ran what it had queued for a handover that never came, although an interim home had run a copy. (3) The takeover wait covered the former lease but not a duplicate of what the former home forwarded last. Ruled out: the caller double and the target double (their outcomes were checked against the trace). Change: the echo of a restarted member comes from its successor; queued non-idempotent requests become unknown when the awaited handover fails; the wait is lease + clock skew + datagram lifetime (7.25 s); a joiner waits for each silent member on its own, so that two joiners cannot wait for each other for ever.

--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -15,6 +15,7 @@
     effective,
     errors,
     logs,
+    membership,
     metrics,
     peering,
     queueing,
@@ -25,8 +26,6 @@
 
 LOGGER = logbook.Logger("home")
 
-# A copy of a datagram does not arrive later than this after its first copy.
-DATAGRAM_LIFETIME_S = 2.0
 UNPROMPTED_PIECES = 32
 MAX_PULLED_PIECES = 64
 ANSWER_KEPT_S = 15.0
@@ -210,13 +209,26 @@
         complete : bool
             Whether no request can be known to a former home only.
         """
+        if self.awaiting_from and not former:
+            self.suspend_queue()
         self.authority_at = authority_at
         self.awaiting_from = former
         if not complete:
-            limit_s = self.context.max_deadline_s + DATAGRAM_LIFETIME_S
+            limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
             self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
         self.work_added.set()
 
+    def suspend_queue(self) -> None:
+        """Set aside what was queued for a handover that will not come.
+
+        The former home, or one that stood in for it, may have run copies.
+        """
+        for waiting in list(self.queue.waiting()):
+            record = self.records.get(waiting.key)
+            if record is not None and not record.idempotent:
+                self.queue.remove(waiting.key)
+                record.state = RecordState.WAITING
+
     # Frames from callers.
 
     async def on_frame(self, frame: wire.Frame, caller: wire.Address) -> reasons.Reason:
@@ -269,7 +281,8 @@
             arrived_at=anyio.current_time(),
             first_attempt=frame.attempt,
             work_class=self.classify(frame),
-            keep_until_ms=frame.deadline_ms + int(DATAGRAM_LIFETIME_S * 1000),
+            keep_until_ms=frame.deadline_ms
+            + int(membership.DATAGRAM_LIFETIME_S * 1000),
             frame=frame,
         )
         self.records[record.key] = record
@@ -691,7 +704,7 @@
             self.authority_at = anyio.current_time() + left_s
         self.incomplete_until_ms = 0
         if not handover.records_complete:
-            limit_s = self.context.max_deadline_s + DATAGRAM_LIFETIME_S
+            limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
             self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
 
     def on_completion(self, message: typing.Any) -> None:
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -155,12 +155,9 @@
         if entry.former is None:
             return
         host, incarnation = entry.former
-        if self.members.has_ended(host, incarnation):
-            entry.former = None
-            entry.takeover(0.0, "", complete=False)
-        elif (host, incarnation) in self.members.identities():
-            withheld = self.members.is_withheld(host)
-            entry.takeover(math.inf, "" if withheld else host, complete=False)
+        if self.members.may_return(host, incarnation):
+            silent = self.members.is_withheld(host)
+            entry.takeover(math.inf, "" if silent else host, complete=False)
         else:
             entry.former = None
             entry.takeover(
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -38,8 +38,12 @@
 DEAD_AFTER_INTERVAL_S = 1.7
 LEASE_S = 5.0
 CLOCK_SKEW_S = 0.25
-TAKEOVER_WAIT_S = LEASE_S + CLOCK_SKEW_S
-# A joiner that reaches no member for this long may remove members.
+# A copy of a datagram does not arrive later than this after its first copy.
+DATAGRAM_LIFETIME_S = 2.0
+# The former home may forward until its lease ends, and a duplicate of what it
+# forwarded last may arrive here within a datagram's lifetime.
+TAKEOVER_WAIT_S = LEASE_S + CLOCK_SKEW_S + DATAGRAM_LIFETIME_S
+# A joiner does not wait for the confirmation of a member silent for this long.
 JOIN_ALONE_S = 30.0
 JOIN_RETRY_S = 0.5
 # The last heartbeat is repeated because a datagram can be lost.
@@ -75,6 +79,9 @@
     withheld: bool = False
     # A removal was written and its outcome is not known yet.
     removal_pending: bool = False
+    # Incarnation of a later process at the same address, 0 for none. Only one
+    # process can have the address, so the member itself has ended.
+    successor: int = 0
     loads: list[typing.Any] = dataclasses.field(default_factory=list)
     scope: anyio.CancelScope = dataclasses.field(default_factory=anyio.CancelScope)
 
@@ -126,13 +133,11 @@
         self.rng = random.Random(me.incarnation)
         self.view: objects.View | None = None
         self.peers: dict[str, Peer] = {}
+        # Members that announced that they stopped, by host and incarnation.
         self.ended: set[tuple[str, int]] = set()
-        # Proofs of end that are kept after the view changed, by host.
-        self.ended_incarnations: dict[str, int] = {}
         self.carried_lease = 0.0
         self.joined_epoch = 0
         self.full = False
-        self.alone_at = anyio.current_time() + JOIN_ALONE_S
         self.leaving = False
         self.stopped = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
@@ -163,6 +168,19 @@
 
     def members(self) -> dict[str, objects.Member]:
         """Return the members of the view that have not ended, by host."""
+        return {
+            name: member
+            for name, member in self.lenders().items()
+            if name not in self.peers or not self.peers[name].successor
+        }
+
+    def lenders(self) -> dict[str, objects.Member]:
+        """Return the members whose echo a lease needs, this one included.
+
+        The echo of a restarted member comes from its successor: without it, a
+        member that others have removed could keep its lease. A member that
+        announced its end removes nobody any more.
+        """
         if self.view is None:
             return {}
         return {
@@ -197,18 +215,16 @@
         peer = self.peers.get(host)
         return peer is not None and peer.leaving
 
-    def has_ended(self, host: str, incarnation: int) -> bool:
-        """Tell whether there is proof that a member runs no more work."""
-        return (
-            host,
-            incarnation,
-        ) in self.ended or self.ended_incarnations.get(host, 0) >= incarnation
+    def may_return(self, host: str, incarnation: int) -> bool:
+        """Tell whether a member may still run work or hand it over."""
+        member = self.members().get(host)
+        return member is not None and member.incarnation == incarnation
 
     def lease_until(self) -> float:
         """Return the monotonic time until which non-idempotent work may start."""
         if not self.is_member():
             return self.carried_lease
-        others = [name for name in self.members() if name != self.me.host]
+        others = [name for name in self.lenders() if name != self.me.host]
         if not others:
             return anyio.current_time() + LEASE_S
         granted = min(
@@ -255,17 +271,12 @@
             self.full = False
             self.me = self.me.model_copy(update={"incarnation": new_incarnation()})
         current = self.identities()
-        for host, incarnation in self.ended:
-            self.note_ended(host, incarnation)
         self.ended &= current
         for name, peer in list(self.peers.items()):
             if (name, peer.member.incarnation) not in current:
                 peer.scope.cancel()
                 del self.peers[name]
             peer.removal_pending = False
-        for member in view.members:
-            # Only one process can have the address: an earlier one has ended.
-            self.note_ended(member.host, member.incarnation - 1)
         now = anyio.current_time()
         pause = interval_s(len(view.members))
         for member in view.members:
@@ -388,11 +399,12 @@
         """Become a full member once all others have confirmed the join."""
         if self.full or not self.is_member():
             return
-        others = [peer for name, peer in self.peers.items() if name in self.members()]
-        confirmed = all(peer.heard_epoch >= self.joined_epoch for peer in others)
-        if any(peer.heard_epoch > 0 for peer in others):
-            self.alone_at = anyio.current_time() + JOIN_ALONE_S
-        if confirmed or anyio.current_time() >= self.alone_at:
+        now = anyio.current_time()
+        others = [peer for name, peer in self.peers.items() if name in self.lenders()]
+        if all(
+            peer.heard_epoch >= self.joined_epoch or now >= peer.dead_at + JOIN_ALONE_S
+            for peer in others
+        ):
             self.full = True
             logs.event(LOGGER.info, "member_full", epoch=self.epoch)
 
@@ -479,13 +491,12 @@
         peer = self.peers.get(message.host)
         if peer is None:
             return reasons.Reason.UNKNOWN_PEER
-        if message.incarnation < peer.member.incarnation:
+        if message.incarnation < max(peer.member.incarnation, peer.successor):
             return reasons.Reason.STALE_INCARNATION
-        if message.incarnation > peer.member.incarnation:
-            if address == peer.address:
-                # Only one process can have the address: the former one has ended.
-                self.mark_ended(peer.member.host, peer.member.incarnation)
-            return reasons.Reason.UNKNOWN_PEER
+        if message.incarnation > max(peer.member.incarnation, peer.successor):
+            if address != peer.address:
+                return reasons.Reason.UNKNOWN_PEER
+            self.on_successor(peer, message.incarnation)
         now = anyio.current_time()
         if message.echo_us > now * MICROSECONDS:
             return reasons.Reason.MALFORMED
@@ -513,21 +524,27 @@
             self.mark_ended(entry.host, entry.incarnation)
         return None
 
+    def on_successor(self, peer: Peer, incarnation: int) -> None:
+        """Note that a member was restarted and is not in the view again yet."""
+        peer.successor = incarnation
+        peer.newest_sent_us = 0
+        logs.event(
+            LOGGER.info,
+            "member_restarted",
+            peer=peer.member.host,
+            incarnation=incarnation,
+        )
+        self.on_change()
+
     def mark_ended(self, host: str, incarnation: int) -> None:
-        """Record the proof that a member of the view runs no more work."""
+        """Record that a member of the view has announced its end."""
         key = (host, incarnation)
         if key in self.ended or key not in self.identities():
             return
         self.ended.add(key)
-        self.note_ended(host, incarnation)
         logs.event(LOGGER.info, "member_ended", peer=host, incarnation=incarnation)
         self.on_change()
 
-    def note_ended(self, host: str, incarnation: int) -> None:
-        """Remember a proof of end beyond the view that it concerns."""
-        known = self.ended_incarnations.get(host, 0)
-        self.ended_incarnations[host] = max(known, incarnation)
-
     def on_view_changed(self, message: typing.Any) -> None:
         """Adopt a view of which a peer pushed the difference."""
         held = self.store.stored.get(self.view_name)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,6 +1,7 @@
 """Steps for membership, leases, and changes of home."""
 
 import contextlib
+import dataclasses
 
 import anyio
 import behave
@@ -64,6 +65,14 @@
     )
 
 
+async def deliver_late(network, rng, target, frame):
+    """Deliver a duplicate at the end of a datagram's lifetime or before."""
+    await anyio.sleep(rng.uniform(0, membership.DATAGRAM_LIFETIME_S))
+    nodes = list(network.nodes.values())
+    if nodes:
+        await rng.choice(nodes).request(target, frame)
+
+
 async def send_until_outcome(network, rng, target, flow, idempotent, deadline_s=20.0):
     """Send a request as the caller library does, to random nodes."""
     frame = request_frame(flow, idempotent, deadline_s=deadline_s)
@@ -72,10 +81,12 @@
     while clock.unix_ms() < frame.deadline_ms:
         frame.attempt = min(attempt, 255)
         attempt += 1
-        for _ in range(1 + (rng.random() < 0.3)):
-            nodes = list(network.nodes.values())
-            if nodes:
-                await rng.choice(nodes).request(target, frame)
+        nodes = list(network.nodes.values())
+        if nodes:
+            await rng.choice(nodes).request(target, dataclasses.replace(frame))
+        if rng.random() < 0.3:
+            copy = dataclasses.replace(frame)
+            network.tasks.start_soon(deliver_late, network, rng, target, copy)
         await anyio.sleep(0.25)
         for outcome in network.outcomes.get(frame.key, []):
             if outcome.kind in kinds:
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -122,6 +122,7 @@
         self.store = replica.Replica()
         self.scope = anyio.CancelScope()
         self.paused = False
+        self.first_view: objects.StoredObject | None = None
         me = objects.Member(
             host=name,
             incarnation=network.next_incarnation(),
@@ -163,6 +164,8 @@
             async with anyio.create_task_group() as tasks:
                 self.homes.tasks = tasks
                 self.homes.reassign(self.network.config)
+                if self.first_view is not None:
+                    self.store.apply(self.first_view)
                 await self.members.run()
 
     async def send(self, datagram: bytes, address: tuple[str, int]) -> None:
@@ -218,7 +221,10 @@
             while self.paused:
                 await anyio.sleep(0.01)
             if await target.run(frame):
-                record.answer = home.Answer([b"answer"], 1, 6, 6)
+                answer = wire.Frame(
+                    wire.Kind.ANSWER, 1, record.flow, record.request, body=b"answer"
+                )
+                await entry.on_piece(record, answer)
                 await entry.finish(record, home.RecordState.ANSWERED)
             else:
                 record.forwarded = False
@@ -323,7 +329,7 @@
         assert self.tasks is not None
         for node in nodes:
             self.nodes[node.address] = node
-            node.store.apply(written.unwrap())
+            node.first_view = written.unwrap()
             self.tasks.start_soon(node.run)
 
     def kill(self, node: Node) -> None:
