Keep isolated hosts from removing healthy ones; finish handovers before leaving

Cause, from the soak and the random faults: (1) a host cut off from its peers but not from the platform removed all of them every 3 s, and rejoined at once when it was removed itself. (2) A leaving host announced its end while a handover was under way, so the new home started without the records and answered "unknown". (3) A removed and rejoined host did not count the requests that its earlier homes still ran (4 to 6 in flight at a target). Change: a member that finds all peers silent waits 0.6 s and reads the view again; a joiner has to be heard by the members; the stop waits for handovers; requests at departing homes count as slots; a heartbeat with a newer epoch leads to a sync.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -132,6 +132,7 @@
             configsync.addresses(config.peers.seeds),
             config.platform.watch_timeout_s,
         )
+        self.members.on_behind = self.sync.note_behind
         self.store.subscribe(self.on_object)
         # Monotonic time until which each other domain counts as reachable.
         self.reachable_until: dict[str, float] = {}
@@ -354,8 +355,11 @@
             await self.send_to_caller(alive, caller)
             return
         former = self.homes.former_of(target.id, frame)
+        if former == self.members.me.host:
+            drop(await self.homes.on_left_frame(target.id, frame, caller))
+            return
         member = self.members.members().get(former) if former else None
-        if member is not None and member != self.members.me:
+        if member is not None:
             await self.relay(member, datagram, caller, hops, RELAY_TO_FORMER)
             return
         drop(await entry.on_frame(frame, caller))
@@ -463,7 +467,7 @@
         now = anyio.current_time()
         self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
         if message.config_digest != self.store.digest:
-            self.sync.behind.add(address)
+            self.sync.note_behind(address)
         if message.reply_wanted:
             await self.send_to_peer(self.ping(reply_wanted=False), address)
 
@@ -624,7 +628,8 @@
         self.on_view_change()
         while anyio.current_time() < stop_at:
             alone = not self.members.staying()
-            if self.homes.is_idle() and (alone or not self.homes.homes):
+            handed_over = not self.homes.homes and not self.homes.departing
+            if self.homes.is_idle() and (alone or handed_over):
                 break
             await anyio.sleep(STOP_POLL_S)
         await self.members.leave()
--- a/basilgate/configsync.py
+++ b/basilgate/configsync.py
@@ -104,6 +104,10 @@
             if sources:
                 await self.sync_from(self.rng.choice(sources))
 
+    def note_behind(self, address: tuple[str, int]) -> None:
+        """Note a host that has something newer."""
+        self.behind.add(address)
+
     async def sync_from(self, address: tuple[str, int]) -> bool:
         """Take newer objects from one peer; False if it did not answer."""
         versions = [
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -144,12 +144,19 @@
         Its service.
     context : Context
         What the home needs of its balancer.
+    host : str
+        Name of this host.
     """
 
     def __init__(
-        self, target: effective.Target, service: effective.Service, context: Context
+        self,
+        target: effective.Target,
+        service: effective.Service,
+        context: Context,
+        host: str,
     ) -> None:
         self.target = target
+        self.host = host
         self.service = service
         self.context = context
         self.records: dict[queueing.Key, Record] = {}
@@ -159,12 +166,16 @@
         self.running: dict[queueing.Key, Record] = {}
         # Requests left at a former home that still use a slot there.
         self.former_running: set[queueing.Key] = set()
+        # Number of requests that run at earlier homes of the target in this process.
+        self.left_running: collections.abc.Callable[[], int] = lambda: 0
         self.work_added = anyio.Event()
         # Monotonic time from which non-idempotent work may be forwarded;
         # infinite while the former home is not known to have lost its right.
         self.authority_at = 0.0
         # Host whose handover is awaited; nothing is forwarded before it.
         self.awaiting_from = ""
+        # Host whose handover gives the right, also when it comes after its end.
+        self.awaited = ""
         # Host and incarnation of the former home while its right may still hold.
         self.former: tuple[str, int] | None = None
         # Serials of the handovers that were taken.
@@ -213,6 +224,7 @@
             self.suspend_queue()
         self.authority_at = authority_at
         self.awaiting_from = former
+        self.awaited = former or self.awaited
         if not complete:
             limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
             self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
@@ -440,7 +452,7 @@
 
     def slots_in_use(self) -> int:
         """Return the slots of the target that have work, here or at a former home."""
-        return len(self.running) + len(self.former_running)
+        return len(self.running) + len(self.former_running) + self.left_running()
 
     def long_running(self) -> int:
         """Return the number of slots that have long work."""
@@ -671,7 +683,7 @@
             flow = peering.unsigned(entry.flow)
             self.flows[flow] = max(self.flows.get(flow, 0), entry.expires_ms)
         self.loaded.add(handover.serial)
-        if handover.host == self.awaiting_from:
+        if handover.host == self.awaited:
             self.load_rights(handover)
         for entry in handover.queued:
             decoded = wire.decode(entry.frame).value_or(None)
@@ -688,13 +700,13 @@
             self.queue.remove(mine.key)
             record.caller = mine.caller
         self.records[record.key] = record
-        if record.state is RecordState.RUNNING:
+        if record.state is RecordState.RUNNING and record.former != self.host:
             self.former_running.add(record.key)
 
     def load_rights(self, handover: typing.Any) -> None:
         """Take over the right to forward, as far as the former home had it."""
         self.former = None
-        self.awaiting_from = ""
+        self.awaiting_from = self.awaited = ""
         self.authority_at = 0.0
         if handover.former_host:
             self.former = (handover.former_host, handover.former_incarnation)
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -140,7 +140,8 @@
     ) -> None:
         """Become the home of a target."""
         service = self.config.services[target.service]
-        entry = home.Home(target, service, self.context)
+        entry = home.Home(target, service, self.context, self.members.me.host)
+        entry.left_running = lambda: self.left_running(entry)
         self.homes[target.id] = entry
         if former is not None and former != self.members.me:
             entry.former = (former.host, former.incarnation)
@@ -202,6 +203,11 @@
         if not group:
             self.departing.pop(entry.target.id, None)
 
+    def left_running(self, entry: home.Home) -> int:
+        """Return the requests of a target that run at earlier homes of this host."""
+        departing = self.departing.get(entry.target.id, [])
+        return sum(len(other.running) for other in departing if other is not entry)
+
     def hand_over(self, number: int) -> None:
         """Start to hand a target to its new home."""
         entry = self.homes.pop(number)
@@ -263,7 +269,7 @@
         """Tell the new home that a request left here has ended."""
         number = entry.target.id
         member = self.assignment.get(number)
-        if member is None or member == self.members.me:
+        if member is None:
             return
         message = ttypes.Completion(
             host=self.members.me.host,
@@ -274,7 +280,9 @@
             state=int(record.state),
             reason=int(record.reason),
         )
-        if self.tasks is not None:
+        if member == self.members.me:
+            self.on_completion(message)
+        elif self.tasks is not None:
             self.tasks.start_soon(self.send_completion, number, message)
 
     async def send_completion(self, number: int, message: typing.Any) -> None:
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -51,6 +51,8 @@
 FAREWELL_PAUSE_S = 0.02
 REMOVAL_STAGGER_S = 0.05
 MAX_REMOVAL_STAGGER_S = 0.3
+# Wait of a member that hears nobody, before it removes the others.
+ISOLATION_WAIT_S = 0.6
 MICROSECONDS = 1_000_000
 
 Send = collections.abc.Callable[
@@ -141,6 +143,14 @@
         self.leaving = False
         self.stopped = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
+        # Called with the address of a host that has a newer view.
+        self.on_behind: collections.abc.Callable[[tuple[str, int]], None] = lambda _: (
+            None
+        )
+        # Hosts heard since this process started or was removed, and until when
+        # silence of the members keeps it from joining.
+        self.heard: set[str] = set()
+        self.join_alone_at = anyio.current_time() + JOIN_ALONE_S
         self.on_change: collections.abc.Callable[[], None] = lambda: None
         self.tasks: anyio.abc.TaskGroup | None = None
         store.subscribe(self.on_object)
@@ -269,6 +279,8 @@
             # so the host comes back as a new one.
             self.carried_lease = 0.0
             self.full = False
+            self.heard.clear()
+            self.join_alone_at = anyio.current_time() + JOIN_ALONE_S
             self.me = self.me.model_copy(update={"incarnation": new_incarnation()})
         current = self.identities()
         self.ended &= current
@@ -393,7 +405,10 @@
         ]
         if self.view is not None and self.me in self.view.members:
             return
-        await self.write_view([*others, self.me], "join")
+        # A host that the members cannot hear would end their leases by joining.
+        silent = {member.host for member in others} - self.heard
+        if not silent or anyio.current_time() >= self.join_alone_at:
+            await self.write_view([*others, self.me], "join")
 
     def check_full(self) -> None:
         """Become a full member once all others have confirmed the join."""
@@ -443,10 +458,41 @@
         )
         await self.send(self.codec.encode("heartbeat", message), peer.address)
 
+    async def answer_stranger(self, address: tuple[str, int]) -> None:
+        """Send a heartbeat that confirms nothing to a host outside the view."""
+        message = ttypes.Heartbeat(
+            host=self.me.host,
+            incarnation=self.me.incarnation,
+            epoch=self.epoch,
+            sent_us=int(anyio.current_time() * MICROSECONDS),
+            echo_us=0,
+            config_revision=self.store.revision,
+            config_digest=self.store.digest,
+            leaving=self.leaving,
+        )
+        await self.send(self.codec.encode("heartbeat", message), address)
+
+    def seems_isolated(self) -> bool:
+        """Tell whether all of several peers fell silent at about the same time.
+
+        The fault is more likely on this host's side. If it is, the other members
+        hear each other and remove this host meanwhile.
+        """
+        now = anyio.current_time()
+        return len(self.peers) >= 2 and all(
+            now >= peer.suspect_at for peer in self.peers.values()
+        )
+
     async def remove(self, peer: Peer) -> None:
         """Write a view without a dead peer."""
         if not self.full or not self.is_member() or self.leaving:
             return
+        if self.seems_isolated():
+            await anyio.sleep(ISOLATION_WAIT_S)
+            if not await self.refresh_view() or not self.is_member():
+                return
+            if anyio.current_time() < peer.dead_at:
+                return
         if not peer.withheld:
             peer.withheld = True
             logs.event(LOGGER.warning, "peer_dead", peer=peer.member.host)
@@ -488,8 +534,14 @@
         self, message: typing.Any, address: tuple[str, int]
     ) -> reasons.Reason | None:
         """Take in a heartbeat; return a reason if it is refused."""
+        if message.epoch > self.epoch:
+            self.on_behind(address)
+        self.heard.add(message.host)
         peer = self.peers.get(message.host)
         if peer is None:
+            if self.is_member() and self.tasks is not None:
+                # A joiner needs to know that the members hear it.
+                self.tasks.start_soon(self.answer_stranger, address)
             return reasons.Reason.UNKNOWN_PEER
         if message.incarnation < max(peer.member.incarnation, peer.successor):
             return reasons.Reason.STALE_INCARNATION
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -29,6 +29,11 @@
     When the home of target 1 is cut off from the others but not from its callers
     Then the new home has authority only after the lease of the former one
 
+  Scenario: A host that hears nobody does not remove the healthy members
+    Given a domain of 3 members
+    When one member is cut off from the others for 25 s
+    Then the others stay members, and hold their leases again
+
   Scenario: A resumed holder comes back as a new incarnation
     Given a domain of 3 members
     When the home of target 1 is paused for 20 s
@@ -79,3 +84,4 @@
       | 6    |
       | 7    |
       | 8    |
+      | 24   |
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -199,6 +199,33 @@
     assert context.former_ended < context.next_began
 
 
+@behave.when("one member is cut off from the others for 25 s")
+def isolate_member(context):
+    """Cut a member off from the others, while all of them reach the platform."""
+
+    async def main():
+        async with domain(context.members) as network:
+            isolated, *others = network.nodes.values()
+            before = [node.members.me.incarnation for node in others]
+            for node in others:
+                network.cut(isolated, node)
+            await anyio.sleep(25)
+            after = [node.members.me.incarnation for node in others]
+            context.stayed = before == after
+            context.leases = [
+                node.members.lease_until() > anyio.current_time() for node in others
+            ]
+
+    record(context, main)
+
+
+@behave.then("the others stay members, and hold their leases again")
+def check_stayed(context):
+    """Check incarnations and leases."""
+    assert context.stayed
+    assert context.leases == [True, True], context.leases
+
+
 @behave.when("the home of target 1 is paused for 20 s")
 def pause_home(context):
     """Pause a home past its lease."""
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -152,12 +152,20 @@
         self.homes.call = self.call
         self.homes.serve_slot = self.serve_slot
         self.members.on_change = self.on_change
+        self.members.on_behind = self.on_behind
         self.members.loads = self.homes.loads
 
     def on_change(self) -> None:
         """Follow a change of the view."""
         self.homes.reassign(self.network.config)
 
+    def on_behind(self, address: tuple[str, int]) -> None:
+        """Take a newer view from a peer."""
+        peer = self.network.reachable(self, address)
+        stored = peer.store.stored.get(self.members.view_name) if peer else None
+        if stored is not None:
+            self.store.apply(stored)
+
     async def run(self) -> None:
         """Run until the node is killed."""
         with self.scope:
