--- a/lab/cluster.py
+++ b/lab/cluster.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import sys
 import tempfile
@@ -17,7 +18,8 @@
 import anyio.abc
 import httpx
 
-from basilgate import objects
+from basilgate import datagrams, objects
+from standins import faultyhost, hostlist
 
 SECRET = "5a" * 32
 CALLERS_PORT = 7000
@@ -28,6 +30,9 @@
 PLATFORM_PORT = 9000
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 90.0
+CONTROL_TRIES = 5
+CONTROL_WAIT_S = 0.3
+FAULTY_MODULE = "standins.faultyhost"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +54,8 @@
     services: tuple[ServicePlan, ...]
     extra_settings: str = ""
     balancer_module: str = "basilgate.balancer"
+    # Time until the fabric notices that a host has come or gone.
+    fabric_lag_s: float = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,6 +120,7 @@
         self.platform: anyio.abc.Process | None = None
         self.http = httpx.AsyncClient(timeout=5.0, trust_env=False)
         self.processes: list[anyio.abc.Process] = []
+        self.fabric = hostlist.HostList(plan.fabric_lag_s)
 
     def layout(self) -> None:
         """Name and address every host and target."""
@@ -169,6 +177,7 @@
         host.process = await self.spawn(
             name, self.plan.balancer_module, f"--settings_file={host.settings_file}"
         )
+        self.fabric.update(self.caller_addresses())
 
     async def start_target(self, name: str) -> None:
         """Start a target."""
@@ -221,13 +230,43 @@
         )
         return part.model_dump(mode="json")
 
-    async def write(self, name: str, value: dict[str, typing.Any]) -> None:
-        """Write an object to the platform, whatever its version."""
+    async def write(
+        self, name: str, value: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        """Write an object to the platform, whatever its version, and return it."""
         url = f"{self.platform_url}/objects/{name}"
         held = await self.http.get(url)
         version = held.json().get("version", 0) if held.status_code == 200 else 0
         body = {"value": value, "expect_version": version}
-        (await self.http.put(url, json=body)).raise_for_status()
+        answer = await self.http.put(url, json=body)
+        answer.raise_for_status()
+        return dict(answer.json())
+
+    async def remove(self, name: str) -> None:
+        """Remove an object from the platform, whatever its version."""
+        url = f"{self.platform_url}/objects/{name}"
+        held = await self.http.get(url)
+        if held.status_code == 200:
+            version = held.json()["version"]
+            (
+                await self.http.delete(url, params={"version": version})
+            ).raise_for_status()
+
+    async def override(
+        self, kind: str, target: str, **fields: typing.Any
+    ) -> dict[str, typing.Any]:
+        """Write an override of a target and return the stored object."""
+        value = {
+            "id": f"{kind}-{target}",
+            "kind": kind,
+            "service": self.targets[target].service.name,
+            "target": target,
+            "operator": "lab",
+            "reason": "experiment",
+            "created_at": "2026-12-04T06:00:00Z",
+            **fields,
+        }
+        return await self.write(f"{objects.OVERRIDE_PREFIX}{kind}-{target}", value)
 
     async def write_configuration(self) -> None:
         """Write the token key and the sheet."""
@@ -309,6 +348,9 @@
         process = self.hosts[name].process
         assert process is not None
         process.terminate()
+        self.fabric.update(
+            [h.callers for h in self.hosts.values() if h.process and h.name != name]
+        )
         with anyio.fail_after(STOP_LIMIT_S):
             status = await process.wait()
         self.hosts[name].process = None
@@ -321,6 +363,42 @@
         process.kill()
         await process.wait()
         self.hosts[name].process = None
+        self.fabric.update(self.caller_addresses())
+
+    async def kill_target(self, name: str) -> None:
+        """End a target without warning."""
+        process = self.targets[name].process
+        assert process is not None
+        process.kill()
+        await process.wait()
+        self.targets[name].process = None
+
+    async def set_rules(
+        self, name: str, rules: collections.abc.Sequence[faultyhost.Rule]
+    ) -> bool:
+        """Set the network faults of a host; False if it does not answer."""
+        content = json.dumps([dataclasses.asdict(rule) for rule in rules]).encode()
+        udp = await datagrams.open_socket(("127.0.0.1", 0))
+        try:
+            for _ in range(CONTROL_TRIES):
+                address = self.hosts[name].address
+                await udp.sendto(content, address, faultyhost.CONTROL_PORT)
+                with anyio.move_on_after(CONTROL_WAIT_S):
+                    await udp.receive()
+                    return True
+        finally:
+            await udp.aclose()
+        return False
+
+    def resident_kb(self) -> dict[str, int]:
+        """Return the resident memory of each balancer in kilobytes."""
+        found = {}
+        for host in self.hosts.values():
+            if host.process is not None:
+                status = pathlib.Path(f"/proc/{host.process.pid}/status").read_text()
+                matched = re.search(r"VmRSS:\s+(\d+)", status)
+                found[host.name] = int(matched[1]) if matched else 0
+        return found
 
     def pause_host(self, name: str) -> None:
         """Stop a balancer's execution for a while."""
@@ -338,7 +416,8 @@
         """End every process that was started."""
         for process in self.processes:
             if process.returncode is None:
-                process.kill()
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
         for process in self.processes:
             await process.wait()
         await self.http.aclose()
