Pull long answers in overlapping windows

The caller asked for the next 64 pieces only after 50 ms without a frame, so a photo of 2 MB took 1.6 s on idle loopback, and a busy balancer was asked again every 50 ms for as long as it stayed busy. The caller now keeps 32 pieces on their way and doubles the pause after each request without progress.

--- a/basilgate/client.py
+++ b/basilgate/client.py
@@ -15,9 +15,16 @@
 OPEN_RETRANSMIT_S = 0.2
 REQUEST_RETRANSMIT_S = 0.25
 PENDING_RETRANSMIT_S = 1.0
-# Lost answer pieces are asked for again after this time without progress.
+# Lost answer pieces are asked for again after this time without progress; the time
+# doubles up to the limit, so that a busy balancer is not asked ever more often.
 PULL_PAUSE_S = 0.05
+PULL_PAUSE_LIMIT_S = 0.8
+# The bitmap of a PULL covers this many pieces.
 PULL_WINDOW = 64
+# The next pieces are asked for while this many are still on their way.
+PULL_AHEAD = 32
+# Pieces that the home sends unprompted.
+UNPROMPTED_PIECES = 32
 KEEPALIVE_INTERVAL_S = 20.0
 KEEPALIVE_CHECK_S = 1.0
 MAX_ATTEMPT = 255
@@ -102,6 +109,10 @@
 
     pieces: dict[int, bytes] = dataclasses.field(default_factory=dict)
     expected: int = 0
+    # Pieces below these numbers have come, and were sent or asked for.
+    complete_to: int = 0
+    asked_to: int = UNPROMPTED_PIECES
+    pull_pause_s: float = PULL_PAUSE_S
     token: bytes = wire.EMPTY_TOKEN
     pending: bool = False
     outcome: Outcome | None = None
@@ -217,23 +228,32 @@
 
     async def collect(self, frame: wire.Frame, exchange: Exchange) -> None:
         """Wait for answer pieces, ask for missing ones, and acknowledge all."""
-        missing = [n for n in range(exchange.expected) if n not in exchange.pieces]
-        if not missing:
+        while exchange.complete_to in exchange.pieces:
+            exchange.complete_to += 1
+        if exchange.complete_to >= exchange.expected:
             for _ in range(ACK_COPIES):
                 await self.send(wire.Kind.ACK, frame.request, exchange.token)
             body = b"".join(exchange.pieces[n] for n in range(exchange.expected))
             exchange.outcome = Answered(body)
             return
-        if await exchange.wait(PULL_PAUSE_S) and missing[0] < len(exchange.pieces):
+        on_their_way = exchange.asked_to - len(exchange.pieces)
+        if exchange.asked_to < exchange.expected and on_their_way <= PULL_AHEAD:
+            first = exchange.asked_to
+            exchange.asked_to = min(first + PULL_AHEAD, exchange.expected)
+            await self.pull(frame.request, exchange, first)
+        left_s = (frame.deadline_ms - now_ms()) / 1000
+        if await exchange.wait(min(exchange.pull_pause_s, max(0.0, left_s))):
+            exchange.pull_pause_s = PULL_PAUSE_S
             return
-        await self.pull(frame.request, exchange, missing[0])
+        exchange.pull_pause_s = min(exchange.pull_pause_s * 2, PULL_PAUSE_LIMIT_S)
+        await self.pull(frame.request, exchange, exchange.complete_to)
 
     async def pull(self, request: int, exchange: Exchange, first: int) -> None:
         """Ask for the missing pieces in the window that starts at `first`."""
         bitmap = 0
         for offset in range(PULL_WINDOW):
             piece = first + offset
-            if piece < exchange.expected and piece not in exchange.pieces:
+            if piece < exchange.asked_to and piece not in exchange.pieces:
                 bitmap |= 1 << offset
         body = first.to_bytes(2, "big") + bitmap.to_bytes(8, "big")
         await self.send(wire.Kind.PULL, request, exchange.token, body)
--- a/standins/faultyhost.py
+++ b/standins/faultyhost.py
@@ -89,13 +89,15 @@
         task.add_done_callback(self.late.discard)
 
     async def connect_tcp(
-        self, host: str, port: int, **options: typing.Any
+        self, remote_host: str, remote_port: int, **options: typing.Any
     ) -> anyio.abc.SocketStream:
         """Connect as `anyio.connect_tcp` does, unless the address is cut off."""
-        if self.is_cut(host):
+        if self.is_cut(remote_host):
             await anyio.sleep(CUT_CONNECT_S)
-            raise OSError(f"{host} is cut off")
-        stream: anyio.abc.SocketStream = await CONNECT_TCP(host, port, **options)
+            raise OSError(f"{remote_host} is cut off")
+        stream: anyio.abc.SocketStream = await CONNECT_TCP(
+            remote_host, remote_port, **options
+        )
         return stream
 
     async def open_socket(self, address: tuple[str, int]) -> datagrams.DatagramSocket:
