--- a/lab/load.py
+++ b/lab/load.py
@@ -318,7 +318,8 @@
             frame = wire.Frame(
                 wire.Kind.REQUEST, stream.service, flow.number, seen.request
             )
-            expected = target.answer_body(frame, stream.answer_bytes)
+            run_number = outcome.body[: target.RUN_BYTES]
+            expected = target.answer_body(frame, stream.answer_bytes, run_number)
             seen.whole = outcome.body == expected
         if rng.random() < self.plan.stray_share:
             await self.stray(flow)
--- a/standins/target.py
+++ b/standins/target.py
@@ -7,6 +7,7 @@
 import dataclasses
 import hashlib
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -26,6 +27,7 @@
 from basilgate import admin, reasons, settings, wire
 
 DEFAULT_WORK_MS = 5.0
+RUN_BYTES = 8
 SEND_PIECES_AT_ONCE = 16
 
 
@@ -148,7 +150,9 @@
             running.pop(frame.key, None)
         self.served += 1
         self.note("end", frame)
-        body = answer_body(frame, int(wanted.get("answer_bytes", 16)))
+        body = answer_body(
+            frame, int(wanted.get("answer_bytes", 16)), os.urandom(RUN_BYTES)
+        )
         await send_answer(stream, frame, body)
 
     def refusal(self, frame: wire.Frame) -> reasons.Reason:
@@ -240,13 +244,14 @@
     )
 
 
-def answer_body(frame: wire.Frame, size: int) -> bytes:
-    """Return the answer: a digest that names flow and request, then filler.
+def answer_body(frame: wire.Frame, size: int, run: bytes = bytes(RUN_BYTES)) -> bytes:
+    """Return the answer: the run's number, then a digest of flow, request, and run.
 
-    A caller can check that the answer is whole and its own.
+    A caller can check that the answer is whole, its own, and not put together from
+    the answers of two runs of the same request.
     """
-    seed = hashlib.sha256(b"%d/%d" % (frame.flow, frame.request)).digest()
-    return (seed * (size // len(seed) + 1))[: max(size, 16)]
+    digest = hashlib.sha256(b"%d/%d/" % (frame.flow, frame.request) + run).digest()
+    return (run + digest * (size // len(digest) + 1))[: max(size, 16)]
 
 
 async def send(stream: anyio.abc.ByteStream, frame: wire.Frame) -> None:
