--- a/lab/checker.py
+++ b/lab/checker.py
@@ -25,6 +25,18 @@
 SLOTS = 3
 SAMPLE_S = 0.5
 TRACE_LINES = 80
+NO_NEW_FLOWS = ("drain", "pull")
+# Lines whose verdict is a count that does not depend on how fast the machine is.
+COUNT_LINES = (
+    "flow_broken",
+    "wrong_service",
+    "wrong_answer",
+    "false_not_run",
+    "run_twice",
+    "unclean_stop",
+    "config_reverted",
+    "too_many_in_flight",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +59,7 @@
     revision: int
     digest: int
     epoch: int
+    homes: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -162,16 +175,17 @@
 
 @check("leaving_target_used")
 def check_leaving(evidence: Evidence) -> collections.abc.Iterator[Violation]:
-    """Find new flows at a leaving target after the bound."""
+    """Find new flows at a leaving or pulled target after the bound."""
     for happened in evidence.happened:
-        if happened.fault != "drain" or happened.skipped:
+        if happened.fault not in NO_NEW_FLOWS or happened.skipped:
             continue
         number = evidence.targets[happened.subject].id
         since = happened.began_at + LEAVING_BOUND_S
         for flow in evidence.seen.flows.values():
             if flow.target == number and since < flow.asked_at < happened.ended_at:
                 late_s = flow.asked_at - happened.began_at
-                what = f"{happened.subject} got a flow {late_s:.2f} s after the drain"
+                change = f"the {happened.fault} of {happened.subject}"
+                what = f"new flow {late_s:.2f} s after {change}"
                 yield Violation("leaving_target_used", flow.asked_at, what, flow.flow)
 
 
@@ -237,7 +251,9 @@
             with anyio.move_on_after(1.0):
                 status = await running.status(name)
                 fields = ("incarnation", "revision", "digest", "epoch")
-                sample = Sample(time.time(), name, *(status[f] for f in fields))
+                values = {field: status[field] for field in fields}
+                homes = tuple(status["homes"])
+                sample = Sample(time.time(), name, homes=homes, **values)
                 samples.append(sample)
         except (httpx.HTTPError, ValueError):
             return
@@ -251,7 +267,10 @@
 
 
 def trace(evidence: Evidence, violation: Violation, logs: pathlib.Path) -> list[str]:
-    """Return what callers, targets, and balancers noted about a violation."""
+    """Return what callers, targets, and balancers noted about a violation.
+
+    `logs` is the folder with the balancers' logs.
+    """
     lines: list[tuple[float, str]] = []
     for happened in evidence.happened:
         if abs(happened.began_at - violation.at) < 3 * RECOVERY_S:
--- a/lab/cluster.py
+++ b/lab/cluster.py
@@ -17,8 +17,9 @@
 import anyio
 import anyio.abc
 import httpx
+from returns import result
 
-from basilgate import datagrams, objects
+from basilgate import datagrams, objects, platformapi
 from standins import faultyhost, hostlist
 
 SECRET = "5a" * 32
@@ -33,6 +34,14 @@
 CONTROL_TRIES = 5
 CONTROL_WAIT_S = 0.3
 FAULTY_MODULE = "standins.faultyhost"
+INTERRUPTED_STATUS = 130
+OPERATOR_TRIES = 40
+OPERATOR_PAUSE_S = 0.5
+
+Write = collections.abc.Callable[
+    [],
+    collections.abc.Awaitable[result.Result[objects.StoredObject, platformapi.Problem]],
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +128,7 @@
         self.targets: dict[str, TargetHost] = {}
         self.platform: anyio.abc.Process | None = None
         self.http = httpx.AsyncClient(timeout=5.0, trust_env=False)
+        self.operator = platformapi.PlatformClient(self.platform_url)
         self.processes: list[anyio.abc.Process] = []
         self.fabric = hostlist.HostList(plan.fabric_lag_s)
 
@@ -164,11 +174,12 @@
     async def spawn(self, log: str, *command: str) -> anyio.abc.Process:
         """Start a Python module as a process; its output goes to a log file."""
         path = self.folder / f"{log}.log"
-        with path.open("a", encoding="utf-8") as output:
+        # A cancelled run must not lose track of a process that is being started.
+        with path.open("a", encoding="utf-8") as output, anyio.CancelScope(shield=True):
             process = await anyio.open_process(
                 [sys.executable, "-m", *command], stdout=output, stderr=output
             )
-        self.processes.append(process)
+            self.processes.append(process)
         return process
 
     async def start_host(self, name: str) -> None:
@@ -230,32 +241,19 @@
         )
         return part.model_dump(mode="json")
 
-    async def write(
-        self, name: str, value: dict[str, typing.Any]
-    ) -> dict[str, typing.Any]:
-        """Write an object to the platform, whatever its version, and return it."""
+    async def write(self, name: str, value: dict[str, typing.Any]) -> None:
+        """Write an object to the platform, whatever its version."""
         url = f"{self.platform_url}/objects/{name}"
         held = await self.http.get(url)
         version = held.json().get("version", 0) if held.status_code == 200 else 0
         body = {"value": value, "expect_version": version}
-        answer = await self.http.put(url, json=body)
-        answer.raise_for_status()
-        return dict(answer.json())
-
-    async def remove(self, name: str) -> None:
-        """Remove an object from the platform, whatever its version."""
-        url = f"{self.platform_url}/objects/{name}"
-        held = await self.http.get(url)
-        if held.status_code == 200:
-            version = held.json()["version"]
-            (
-                await self.http.delete(url, params={"version": version})
-            ).raise_for_status()
+        (await self.http.put(url, json=body)).raise_for_status()
 
     async def override(
         self, kind: str, target: str, **fields: typing.Any
-    ) -> dict[str, typing.Any]:
-        """Write an override of a target and return the stored object."""
+    ) -> objects.StoredObject | None:
+        """Write an override of a target; None if the platform stays unreachable."""
+        name = f"{objects.OVERRIDE_PREFIX}{kind}-{target}"
         value = {
             "id": f"{kind}-{target}",
             "kind": kind,
@@ -266,7 +264,24 @@
             "created_at": "2026-12-04T06:00:00Z",
             **fields,
         }
-        return await self.write(f"{objects.OVERRIDE_PREFIX}{kind}-{target}", value)
+        return await self.persist(lambda: self.operator.put(name, value, 0))
+
+    async def remove(self, stored: objects.StoredObject) -> None:
+        """Remove an object that was written before."""
+        await self.persist(lambda: self.operator.delete(stored.name, stored.version))
+
+    async def persist(self, write: Write) -> objects.StoredObject | None:
+        """Repeat a conditional write until it is accepted or settled otherwise."""
+        for _ in range(OPERATOR_TRIES):
+            answer = await write()
+            if isinstance(answer, result.Success):
+                stored: objects.StoredObject = answer.unwrap()
+                return stored
+            kind = answer.failure().kind
+            if kind is platformapi.ProblemKind.NOT_FOUND:
+                return None
+            await anyio.sleep(OPERATOR_PAUSE_S)
+        return None
 
     async def write_configuration(self) -> None:
         """Write the token key and the sheet."""
@@ -421,6 +436,7 @@
         for process in self.processes:
             await process.wait()
         await self.http.aclose()
+        await self.operator.http.aclose()
 
     def caller_addresses(self) -> list[tuple[str, int]]:
         """Return the addresses of the balancers that run."""
@@ -453,6 +469,28 @@
                 await cluster.end()
 
 
+def run_interruptible(
+    function: collections.abc.Callable[..., collections.abc.Awaitable[int]],
+    *arguments: typing.Any,
+) -> int:
+    """Run an experiment and return its status; a signal ends it and its processes."""
+
+    async def end_on_signal(scope: anyio.CancelScope) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                scope.cancel()
+
+    async def run() -> int:
+        status = INTERRUPTED_STATUS
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(end_on_signal, tasks.cancel_scope)
+            status = await function(*arguments)
+            tasks.cancel_scope.cancel()
+        return status
+
+    return anyio.run(run)
+
+
 def show_logs(cluster: Cluster) -> None:
     """Print the end of each log, for a run that did not start."""
     for path in sorted(cluster.folder.glob("*.log")):
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -214,12 +214,26 @@
 @fault("drain", "target", planned=True)
 async def drain(bench: Bench, happened: Happened, seconds: float) -> None:
     """Declare a target leaving, and lift that again."""
-    stored = await bench.cluster.override("drain", happened.subject)
-    happened.revision = stored["revision"]
+    await hold_override(bench, happened, seconds)
+
+
+async def hold_override(bench: Bench, happened: Happened, seconds: float) -> None:
+    """Have an override of the fault's name in force for at least 5 s."""
+    stored = await bench.cluster.override(happened.fault, happened.subject)
+    if stored is None:
+        happened.skipped = True
+        return
+    happened.revision = stored.revision
     happened.began_at = time.time()
     await anyio.sleep(max(seconds, 5.0))
     happened.ended_at = time.time()
-    await bench.cluster.remove(stored["name"])
+    await bench.cluster.remove(stored)
+
+
+@fault("pull", "target", planned=True)
+async def pull(bench: Bench, happened: Happened, seconds: float) -> None:
+    """Keep new flows from a target, and lift that again."""
+    await hold_override(bench, happened, seconds)
 
 
 @fault("target_death", "target")
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -230,11 +230,15 @@
     """
     began = time.monotonic()
     names = tuple(name for name in faults.split(",") if name)
-    report = anyio.run(soak, seed, minutes * 60, brief, names)
-    path = save(report)
-    show(report)
-    print(f"{path}, {time.monotonic() - began:.0f} s")
-    sys.exit(1 if report.violations else 0)
+
+    async def run() -> int:
+        report = await soak(seed, minutes * 60, brief, names)
+        path = save(report)
+        show(report)
+        print(f"{path}, {time.monotonic() - began:.0f} s")
+        return 1 if report.violations else 0
+
+    sys.exit(cluster.run_interruptible(run))
 
 
 if __name__ == "__main__":
