--- a/basilgate/client.py
+++ b/basilgate/client.py
@@ -284,7 +284,8 @@
         reason = reasons.from_code(frame.reason)
         if frame.kind is wire.Kind.ANSWER:
             exchange.expected = max(frame.pieces, 1)
-            exchange.pieces[frame.piece] = frame.body
+            if frame.piece < exchange.expected:
+                exchange.pieces[frame.piece] = frame.body
             if frame.token != wire.EMPTY_TOKEN:
                 exchange.token = frame.token
         elif frame.kind is wire.Kind.REFUSED:
--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -44,6 +44,16 @@
     When a faulty host sends to and hears from a cut prefix and another one
     Then only the datagrams of the other prefix pass
 
+  Scenario Outline: A signal ends an experiment and all its processes
+    Given an experiment with a balancer, a target, and the platform
+    When the experiment gets <signal>
+    Then it ends with status 130 and none of its processes is left
+
+    Examples:
+      | signal  |
+      | SIGINT  |
+      | SIGTERM |
+
   @soak
   Scenario: A short soak with a fixed seed breaks no invariant
     When eight balancers in three domains are soaked for 12 s with seed 11
--- a/features/steps/experiments_steps.py
+++ b/features/steps/experiments_steps.py
@@ -1,7 +1,11 @@
 """Steps for the experiments: checker, schedules, long answers, and the short soak."""
 
 import dataclasses
+import pathlib
 import random
+import signal
+import subprocess
+import sys
 import types
 
 import anyio
@@ -13,6 +17,20 @@
 
 BEGAN = 1_000.0
 PIECE = bytes(wire.MAX_BODY_BYTES)
+END_LIMIT_S = 60
+EXPERIMENT = """
+import sys, anyio
+from lab import cluster
+
+SERVICE = cluster.ServicePlan("desk", 1, "short", {"a": 1})
+
+async def run():
+    async with cluster.running(cluster.Plan({"a": 1}, (SERVICE,))) as running:
+        print(*(process.pid for process in running.processes), flush=True)
+        await anyio.sleep_forever()
+
+sys.exit(cluster.run_interruptible(run))
+"""
 
 
 def request_seen(flow, request, **changes):
@@ -237,6 +255,32 @@
     assert context.heard == [b"free"], context.heard
 
 
+@behave.given("an experiment with a balancer, a target, and the platform")
+def start_experiment(context):
+    """Start an experiment that does not end by itself."""
+    context.experiment = subprocess.Popen(
+        [sys.executable, "-c", EXPERIMENT], stdout=subprocess.PIPE, text=True
+    )
+    context.add_cleanup(context.experiment.stdout.close)
+    context.pids = context.experiment.stdout.readline().split()
+    assert len(context.pids) == 3, context.pids
+
+
+@behave.when("the experiment gets {name}")
+def signal_experiment(context, name):
+    """Send a signal to the experiment's own process only."""
+    context.experiment.send_signal(signal.Signals[name])
+    context.status = context.experiment.wait(END_LIMIT_S)
+
+
+@behave.then("it ends with status 130 and none of its processes is left")
+def check_ended(context):
+    """Check the status, and that the processes have been ended and waited for."""
+    assert context.status == cluster.INTERRUPTED_STATUS, context.status
+    left = [pid for pid in context.pids if pathlib.Path(f"/proc/{pid}").exists()]
+    assert not left, left
+
+
 @behave.when(
     "eight balancers in three domains are soaked for {seconds:d} s with seed {seed:d}"
 )
