--- a/lab/soak.py
+++ b/lab/soak.py
@@ -20,6 +20,7 @@
 
 import basilgate
 from lab import checker, cluster, faults, load, plots
+from standins import fabric
 
 OUT = pathlib.Path("out")
 SETTLE_S = checker.RECOVERY_S
@@ -54,6 +55,12 @@
     ),
     balancer_module=cluster.FAULTY_MODULE,
 )
+FABRICS = {
+    "smooth": fabric.FabricFaults(),
+    "rough": fabric.FabricFaults(
+        loss=0.01, duplication=0.02, reordering=0.02, late=0.05
+    ),
+}
 PLANS = {"sonor": SONOR, "maksupalvelut": MAKSUPALVELUT}
 
 
@@ -198,22 +205,40 @@
 
 
 async def soak(
-    seed: int, seconds: float, brief: str = "", names: tuple[str, ...] = ()
+    seed: int,
+    seconds: float,
+    brief: str = "",
+    names: tuple[str, ...] = (),
+    fabric_name: str = "smooth",
 ) -> Report:
     """Run random faults for some time; the seed picks the size if none is named."""
     chosen = brief or sorted(PLANS)[seed % len(PLANS)]
     plan = PLANS[chosen]
     schedule = faults.schedule(plan, target_names(plan), seed, seconds, names)
-    load_plan = load.plan_for(1, 2, short_flows_per_s=3.0, stray_share=0.02)
+    load_plan = load.plan_for(
+        1,
+        2,
+        short_flows_per_s=3.0,
+        stray_share=0.02,
+        faults=FABRICS[fabric_name],
+    )
     name = f"soak-{chosen}-{seed}"
     report = await run_experiment(name, plan, load_plan, schedule, seed, seconds)
-    report.settings |= {"brief": chosen, "faults": list(names)}
+    report.settings |= {
+        "brief": chosen,
+        "faults": list(names),
+        "fabric": fabric_name,
+    }
     return report
 
 
-@fire.decorators.SetParseFns(seed=int, minutes=float, brief=str, faults=str)
+@fire.decorators.SetParseFns(seed=int, minutes=float, brief=str, faults=str, fabric=str)
 def main(
-    seed: int = 1, minutes: float = 2.0, brief: str = "", faults: str = ""
+    seed: int = 1,
+    minutes: float = 2.0,
+    brief: str = "",
+    faults: str = "",
+    fabric: str = "smooth",
 ) -> None:
     """Run random faults over a loaded cluster.
 
@@ -227,12 +252,15 @@
         Size to run: sonor or maksupalvelut; the seed decides if empty.
     faults : str
         Comma-separated faults to choose from; all of them if empty.
+    fabric : str
+        Way from the callers to the balancers: smooth, or rough with loss,
+        duplication, reordering, and late copies all the time.
     """
     began = time.monotonic()
     names = tuple(name for name in faults.split(",") if name)
 
     async def run() -> int:
-        report = await soak(seed, minutes * 60, brief, names)
+        report = await soak(seed, minutes * 60, brief, names, fabric)
         path = save(report)
         show(report)
         print(f"{path}, {time.monotonic() - began:.0f} s")
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -1,19 +1,26 @@
-"""Stand-in of the fabric: sprays datagrams, and loses or duplicates them by seed."""
+"""Stand-in of the fabric: sprays datagrams, and loses or repeats them by seed."""
 
+import collections
 import dataclasses
 import random
+import time
 
 from basilgate import datagrams
 
 
 @dataclasses.dataclass(slots=True)
 class FabricFaults:
-    """Share of datagrams that are lost, duplicated, or delayed (0 to 1)."""
+    """Shares of datagrams (0 to 1) to which something happens.
+
+    A reordered datagram is sent after the next one. Of a late one, a copy arrives
+    up to `late_s` seconds afterwards; the fabric's datagram lifetime is 2 s.
+    """
 
     loss: float = 0.0
     duplication: float = 0.0
     reordering: float = 0.0
-    delay_s: float = 0.02
+    late: float = 0.0
+    late_s: float = 1.8
 
 
 class SprayingTransport:
@@ -42,28 +49,49 @@
         self.balancers = balancers
         self.rng = random.Random(seed)
         self.faults = faults or FabricFaults()
-        self.delayed: list[bytes] = []
+        self.reordered: list[bytes] = []
+        # Copies that arrive late, with the monotonic time at which they are due.
+        self.late: collections.deque[tuple[float, bytes]] = collections.deque()
+        self.repeated: list[bytes] = []
+
+    def happens(self, share: float) -> bool:
+        """Draw whether a fault of the given share happens."""
+        return share > 0 and self.rng.random() < share
 
     async def send(self, datagram: bytes) -> None:
         """Send a datagram to a random balancer, subject to the faults."""
-        copies = 1 + (self.rng.random() < self.faults.duplication)
-        if self.rng.random() < self.faults.loss:
+        held, self.reordered = self.reordered, []
+        copies = 1 + self.happens(self.faults.duplication)
+        if self.happens(self.faults.loss):
             copies -= 1
+        if self.happens(self.faults.reordering):
+            self.reordered.append(datagram)
+            copies = 0
+        if self.happens(self.faults.late):
+            due_at = time.monotonic() + self.rng.uniform(0, self.faults.late_s)
+            self.late.append((due_at, datagram))
         for _ in range(copies):
-            await self.udp.sendto(datagram, *self.rng.choice(self.balancers))
-        if self.delayed:
-            late = self.delayed.pop()
-            await self.udp.sendto(late, *self.rng.choice(self.balancers))
-        if self.rng.random() < self.faults.reordering:
-            # A copy that arrives after the next datagram.
-            self.delayed.append(datagram)
+            await self.spray(datagram)
+        for other in held:
+            await self.spray(other)
+        while self.late and self.late[0][0] <= time.monotonic():
+            await self.spray(self.late.popleft()[1])
+
+    async def spray(self, datagram: bytes) -> None:
+        """Send a datagram to a random balancer."""
+        await self.udp.sendto(datagram, *self.rng.choice(self.balancers))
 
     async def receive(self) -> bytes:
         """Return the next datagram that is not lost."""
+        if self.repeated:
+            return self.repeated.pop()
         while True:
             datagram, _ = await self.udp.receive()
-            if self.rng.random() >= self.faults.loss:
-                return datagram
+            if self.happens(self.faults.loss):
+                continue
+            if self.happens(self.faults.duplication):
+                self.repeated.append(datagram)
+            return datagram
 
     async def aclose(self) -> None:
         """Close the socket."""
