--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -18,6 +18,7 @@
 
 from basilgate import (
     admin,
+    admission,
     configsync,
     datagrams,
     effective,
@@ -32,11 +33,14 @@
     peering,
     placement,
     platformapi,
+    probing,
     queueing,
     reasons,
     rendezvous,
     replica,
+    retries,
     settings,
+    spill,
     tokens,
     wire,
 )
@@ -46,6 +50,7 @@
 
 RELAY_PLACED = 1
 RELAY_TO_FORMER = 2
+RELAY_SPILLED = 4
 
 UPKEEP_S = 1.0
 PING_INTERVAL_S = 1.0
@@ -100,15 +105,29 @@
             self.codec,
             self.send_to_peer,
         )
+        passing = retries.Passing(self.candidates, self.mint, self.deliver)
+        self.retrier = retries.Retrier(
+            passing, self.choose_target, config.limits.retry_share
+        )
+        self.spill = spill.POLICIES.get(config.policies.spill)()
+        self.spiller = spill.Spiller(self.spill, passing)
+        self.spiller.elsewhere = self.target_elsewhere
+        self.domain_loads = spill.DomainLoads()
+        self.prober = probing.Prober(self.rng)
         context = home.Context(
             send=self.send_to_caller,
             lease_until=self.members.lease_until,
-            retry=self.retry,
+            retry=self.retrier.retry,
             report=self.report,
             make_queue=queueing.POLICIES.get(config.policies.queueing),
             max_deadline_s=config.limits.max_deadline_s,
             max_answer_bytes=config.limits.max_answer_bytes,
             flow_idle_s=config.limits.flow_idle_s,
+            make_admission=admission.POLICIES.get(config.policies.admission),
+            move=self.spiller.move,
+            repeat=passing.repeat,
+            note_request=self.retrier.note_request,
+            share_by_flow=config.limits.caller_identity == "flow",
         )
         self.homes = homes.Homes(self.members, context, self.codec)
         self.opener = opening.Opener(
@@ -120,6 +139,7 @@
             config.limits.token_lifetime_s,
         )
         self.opener.is_reachable = self.is_reachable
+        self.homes.on_started = self.on_home_started
         self.members.loads = self.homes.loads
         self.members.on_change = self.on_view_change
         self.sync = configsync.ConfigSync(
@@ -256,7 +276,7 @@
     ) -> None:
         """Bring a frame to the owner of the open or to the target's home."""
         if frame.kind is wire.Kind.OPEN and not flags & RELAY_PLACED:
-            await self.on_open(frame, datagram, caller, hops)
+            await self.on_open(frame, datagram, caller, hops, flags)
             return
         verified = tokens.verify(
             self.ring, frame.token, frame.flow, frame.service, time.time()
@@ -329,14 +349,20 @@
     # Opens.
 
     async def on_open(
-        self, frame: wire.Frame, datagram: bytes, caller: wire.Address, hops: int
+        self,
+        frame: wire.Frame,
+        datagram: bytes,
+        caller: wire.Address,
+        hops: int,
+        flags: int,
     ) -> None:
         """Place an open, or pass it to the host that does."""
         if frame.service not in self.effective.services:
             if self.effective.services:
                 await self.refuse_open(frame, caller, reasons.Reason.NO_SUCH_SERVICE)
             return
-        domain = self.opener.domain_for(frame)
+        spilled = bool(flags & RELAY_SPILLED)
+        domain = self.members.domain if spilled else self.opener.domain_for(frame)
         if domain is None:
             await self.refuse_open(frame, caller, reasons.Reason.NO_TARGET)
             return
@@ -344,10 +370,36 @@
         if owner is None:
             drop(reasons.Reason.NO_HOME)
         elif owner == self.members.me or hops >= wire.MAX_HOPS - 1:
-            await self.place(frame, caller, hops)
+            if spilled or not await self.spill_open(frame, datagram, caller, hops):
+                await self.place(frame, caller, hops)
         else:
             await self.relay(owner, datagram, caller, hops)
 
+    async def spill_open(
+        self, frame: wire.Frame, datagram: bytes, caller: wire.Address, hops: int
+    ) -> bool:
+        """Pass an open to another domain if this one is full; False keeps it."""
+        if hops >= wire.MAX_HOPS - 1 or self.opener.remembered(frame.flow) is not None:
+            return False
+        now = anyio.current_time()
+        domain, _ = self.opener.spilled.get(frame.flow, ("", 0.0))
+        if not domain:
+            own = spill.total("", self.opener.candidates(frame.service))
+            others = self.domain_loads.of(frame.service, self.is_reachable)
+            chosen = self.spill.choose(own, others) if own.slots else None
+            if chosen is None:
+                return False
+            chosen.sent += 1
+            domain = chosen.name
+        owner = self.opener.owner_in(domain, frame.flow)
+        if owner is None:
+            return False
+        self.opener.spilled[frame.flow] = (domain, now + opening.OPEN_MEMORY_S)
+        service = self.effective.services[frame.service].name
+        metrics.SPILLED.inc({"service": service, "kind": "open"})
+        await self.relay(owner, datagram, caller, hops, RELAY_SPILLED)
+        return True
+
     async def place(self, frame: wire.Frame, caller: wire.Address, hops: int) -> None:
         """Place a flow as its owner and bring it to the target's home."""
         decided = self.opener.decide(frame)
@@ -393,10 +445,50 @@
 
     # Hooks of the homes.
 
-    async def retry(self, entry: home.Home, record: home.Record) -> bool:
-        """Try an idempotent request at another target; not done so far."""
-        del entry, record
-        return False
+    def candidates(self, service: int) -> list[placement.Candidate]:
+        """Return the usable targets of a service in the own domain."""
+        return self.opener.candidates(service)
+
+    def choose_target(self, candidates: placement.Candidates) -> placement.Candidate:
+        """Return the target that a retry goes to."""
+        return self.opener.policy(candidates, self.rng)
+
+    def mint(self, candidate: placement.Candidate, flow: int) -> bytes:
+        """Return a token for a flow at a target."""
+        return self.opener.mint(candidate.target, flow)
+
+    async def deliver(self, frame: wire.Frame, caller: wire.Address) -> None:
+        """Bring a frame of this host to the home that its token names."""
+        await self.route(frame, wire.encode(frame), caller, hops=0, flags=0)
+
+    def target_elsewhere(self, service: int) -> placement.Candidate | None:
+        """Return a target in the least loaded domain that has room."""
+        others = self.domain_loads.of(service, self.is_reachable)
+        least = min(others, key=lambda load: load.relative, default=None)
+        if least is None or least.is_full:
+            return None
+        targets = [
+            target
+            for target in self.effective.by_service.get(service, [])
+            if target.domain == least.name and target.admits
+        ]
+        if not targets:
+            return None
+        least.sent += 1
+        return placement.Candidate(self.rng.choice(targets))
+
+    def on_home_started(self, entry: home.Home) -> None:
+        """Probe a target that this host has become the home of."""
+        if entry.former is None and not entry.awaiting_from:
+            entry.monitor.start_ramp(anyio.current_time())
+        if self.homes.tasks is not None:
+            self.homes.tasks.start_soon(self.prober.run, entry)
+
+    async def rebalance(self) -> None:
+        """Move waiting work to targets that have room."""
+        for entry in list(self.homes.homes.values()):
+            if len(entry.queue):
+                await self.spiller.rebalance(entry)
 
     async def report(self, entry: home.Home, record: home.Record) -> None:
         """Tell a target's new home about the end of a request."""
@@ -416,7 +508,11 @@
             if refused is not None:
                 drop(refused)
                 return
-            self.opener.on_loads(message.loads or [])
+            loads = message.loads or []
+            self.opener.on_loads(loads)
+            for load in loads:
+                self.spiller.on_report(load.target)
+            await self.rebalance()
         elif field == "view_changed":
             self.members.on_view_changed(message)
         elif field == "domain_ping":
@@ -428,6 +524,7 @@
         """Note that another domain is reachable, and answer."""
         now = anyio.current_time()
         self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
+        self.domain_loads.update(message.domain, message.loads or [])
         if message.config_digest != self.store.digest:
             self.sync.behind.add(address)
         if message.reply_wanted:
@@ -442,6 +539,9 @@
             self.store.revision,
             self.store.digest,
             reply_wanted,
+            self.domain_loads.report(
+                list(self.effective.services), self.opener.candidates
+            ),
         )
         return self.codec.encode("domain_ping", message)
 
@@ -536,6 +636,7 @@
                     "running": len(entry.running),
                     "queued": len(entry.queue),
                     "healthy": entry.healthy,
+                    "health": entry.monitor.explain(anyio.current_time()),
                 }
                 for entry in self.homes.homes.values()
             },
@@ -578,6 +679,7 @@
             await wait_for_signal()
             await self.stop()
             tasks.cancel_scope.cancel()
+        await self.prober.client.aclose()
         logs.event(LOGGER.info, "stopped")
 
     async def stop(self) -> None:
--- /dev/null
+++ b/basilgate/health.py
@@ -0,0 +1,181 @@
+"""Health of targets: outcomes of real requests, ejection, flap damping, and ramp."""
+
+import collections.abc
+import dataclasses
+import enum
+import math
+import typing
+
+PROBE_FAILURES = 2
+# Outcomes count for about this time; fewer than MIN_OUTCOMES prove nothing.
+OUTCOME_MEMORY_S = 5.0
+MIN_OUTCOMES = 3.0
+BAD_SHARE = 0.5
+FIRST_EJECTION_S = 2.0
+MAX_EJECTION_S = 60.0
+# Earlier ejections are forgotten after this time without another one.
+FLAP_MEMORY_S = 120.0
+RAMP_S = 10.0
+RAMP_START = 0.1
+FIRST_SHED_PAUSE_S = 0.05
+MAX_SHED_PAUSE_S = 1.0
+
+
+class Condition(enum.Enum):
+    """What decides on a target's health, as `explain` shows it."""
+
+    HEALTHY = "healthy"
+    PROBE_FAILED = "probe_failed"
+    PROBE_OVERRULED = "probe_overruled_by_outcomes"
+    OUTCOMES_FAILED = "outcomes_failed"
+    FROZEN = "frozen"
+    DAMPED = "flap_damped"
+    RAMPING = "ramping_up"
+    SHEDDING = "shedding"
+
+
+@dataclasses.dataclass(slots=True)
+class Recent:
+    """Count that fades within `OUTCOME_MEMORY_S`."""
+
+    value: float = 0.0
+    updated_at: float = 0.0
+
+    def at(self, now: float) -> float:
+        """Return the count at monotonic time `now`."""
+        return self.value * math.exp(-(now - self.updated_at) / OUTCOME_MEMORY_S)
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        self.value = self.at(now) + 1
+        self.updated_at = now
+
+
+@dataclasses.dataclass(slots=True)
+class Monitor:
+    """Health of one target as its home sees it.
+
+    Times are on the monotonic clock in seconds. `reported_busy` is the number of
+    busy slots by the last report, `ejections` that within `FLAP_MEMORY_S`.
+    """
+
+    good: Recent = dataclasses.field(default_factory=Recent)
+    bad: Recent = dataclasses.field(default_factory=Recent)
+    probe_failures: int = 0
+    ejected: bool = False
+    ejected_until: float = 0.0
+    ejections: int = 0
+    last_ejection_at: float = -math.inf
+    cause: Condition = Condition.HEALTHY
+    ramp_from: float = -math.inf
+    paused_until: float = 0.0
+    sheds_in_row: int = 0
+    reported_busy: int = 0
+    reported_slots: int = 1
+
+    # Evidence.
+
+    def on_probe(self, healthy: bool) -> None:
+        """Take in the answer of the health endpoint, or that none came."""
+        self.probe_failures = 0 if healthy else self.probe_failures + 1
+
+    def on_outcome(self, good: bool, now: float) -> None:
+        """Take in the outcome of a real request."""
+        (self.good if good else self.bad).add(now)
+        if good:
+            self.sheds_in_row = 0
+
+    def on_shed(self, now: float) -> None:
+        """Pause a target that shed a request, longer for each one in a row."""
+        pause_s = FIRST_SHED_PAUSE_S * 2 ** min(self.sheds_in_row, 10)
+        self.sheds_in_row += 1
+        self.paused_until = now + min(pause_s, MAX_SHED_PAUSE_S)
+
+    # Verdict.
+
+    def observed(self, now: float, frozen: bool) -> Condition:
+        """Return what the evidence says; outcomes go before probes."""
+        if frozen:
+            return Condition.FROZEN
+        good, bad = self.good.at(now), self.bad.at(now)
+        if bad >= MIN_OUTCOMES and bad > BAD_SHARE * (good + bad):
+            return Condition.OUTCOMES_FAILED
+        if self.probe_failures >= PROBE_FAILURES:
+            proven = good >= MIN_OUTCOMES and good > bad
+            return Condition.PROBE_OVERRULED if proven else Condition.PROBE_FAILED
+        return Condition.HEALTHY
+
+    def update(self, now: float, frozen: bool = False) -> bool:
+        """Eject or reinstate the target; return whether it is in use."""
+        seen = self.observed(now, frozen)
+        failed = seen not in (Condition.HEALTHY, Condition.PROBE_OVERRULED)
+        if failed and not self.ejected:
+            self.eject(now, seen)
+        elif failed:
+            self.cause = seen
+        elif self.ejected and now >= self.ejected_until:
+            self.ejected = False
+            self.ramp_from = now
+        return not self.ejected
+
+    def eject(self, now: float, cause: Condition) -> None:
+        """Take the target out of use, longer for each recent ejection."""
+        if now - self.last_ejection_at > FLAP_MEMORY_S:
+            self.ejections = 0
+        stay_s = min(FIRST_EJECTION_S * 2**self.ejections, MAX_EJECTION_S)
+        self.ejections = min(self.ejections + 1, 16)
+        self.last_ejection_at = now
+        self.ejected = True
+        self.ejected_until = now + stay_s
+        self.cause = cause
+
+    def start_ramp(self, now: float) -> None:
+        """Let the share of new flows rise from now on."""
+        self.ramp_from = now
+
+    def share(self, now: float) -> float:
+        """Return the share of its weight that the target gets of new flows."""
+        grown = (now - self.ramp_from) / RAMP_S
+        ramp = min(1.0, max(RAMP_START, grown))
+        return ramp / (1 + self.sheds_in_row)
+
+    def condition(self, now: float) -> Condition:
+        """Return what decides on the target's use now."""
+        if self.ejected:
+            settled = self.observed(now, frozen=False) is Condition.HEALTHY
+            return Condition.DAMPED if settled else self.cause
+        if self.sheds_in_row:
+            return Condition.SHEDDING
+        if now - self.ramp_from < RAMP_S:
+            return Condition.RAMPING
+        return self.observed(now, frozen=False)
+
+    def explain(self, now: float) -> dict[str, typing.Any]:
+        """Return the state and its evidence for `explain`."""
+        return {
+            "in_use": not self.ejected,
+            "condition": self.condition(now).value,
+            "good_outcomes": round(self.good.at(now), 1),
+            "bad_outcomes": round(self.bad.at(now), 1),
+            "failed_probes": self.probe_failures,
+            "ejections": self.ejections,
+            "ejected_for_s": round(max(0.0, self.ejected_until - now), 1),
+            "share_of_weight": round(self.share(now), 2),
+            "reported_busy": self.reported_busy,
+        }
+
+
+Item = typing.TypeVar("Item")
+
+
+def usable(
+    items: collections.abc.Sequence[Item],
+    is_healthy: collections.abc.Callable[[Item], bool],
+) -> list[Item]:
+    """Return the healthy items, or all if more than half look unhealthy.
+
+    So many failures at once are more likely a fault of the observer, and a domain
+    must not empty itself.
+    """
+    healthy = [item for item in items if is_healthy(item)]
+    return healthy if 2 * len(healthy) >= len(items) else list(items)
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -11,8 +11,11 @@
 import logbook
 
 from basilgate import (
+    admission,
+    classes,
     effective,
     errors,
+    health,
     logs,
     metrics,
     objects,
@@ -44,9 +47,16 @@
     ANSWERED = 4
     REFUSED = 5
     UNKNOWN = 6
+    # Idempotent and given to another target, whose home tells the outcome.
+    PASSED = 7
 
 
-ENDED_STATES = (RecordState.ANSWERED, RecordState.REFUSED, RecordState.UNKNOWN)
+ENDED_STATES = (
+    RecordState.ANSWERED,
+    RecordState.REFUSED,
+    RecordState.UNKNOWN,
+    RecordState.PASSED,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,6 +98,14 @@
     # A copy was sent to a target that did not say that it left it unstarted.
     forwarded: bool = False
     forwards: int = 0
+    # How often other homes passed the request on before it came here.
+    passes: int = 0
+    # Token of the caller's frame, returned with the answer, and the one of the
+    # target that the request was passed on to.
+    token: bytes = wire.EMPTY_TOKEN
+    passed_token: bytes = wire.EMPTY_TOKEN
+    body_bytes: int = 0
+    progress_at: float = 0.0
     cancel: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     frame: wire.Frame | None = None
     answer: Answer | None = None
@@ -99,6 +117,17 @@
         return (self.flow, self.request)
 
 
+async def keep(entry: "Home", record: Record) -> bool:
+    """Move no request."""
+    del entry, record
+    return False
+
+
+async def ignore(record: Record, frame: wire.Frame) -> None:
+    """Send nothing after a request that was passed on."""
+    del record, frame
+
+
 @dataclasses.dataclass(slots=True)
 class Context:
     """What a home needs of its balancer.
@@ -110,23 +139,50 @@
     lease_until : callable
         Monotonic time until which this host may start non-idempotent work.
     retry : callable
-        Tries an idempotent request at another target; True if it was passed on.
+        Tries an idempotent request at another target; returns NONE if it was
+        passed on, else why not.
     report : callable
         Tells the new home that a request left at this host has ended.
     make_queue : callable
         Makes a queue with a limit for each class.
+    make_admission : callable
+        Makes an admission policy.
+    learners : classes.Learners
+        Learned work classes, shared by the homes of this host.
+    move : callable
+        Moves a waiting idempotent request to another target; True if it did.
+    repeat : callable
+        Sends a frame about a request that was passed on after it.
+    note_request : callable
+        Notes a request of a service for its retry budget.
+    share_by_flow : bool
+        Whether a caller, for its share, is a flow and not a source address.
     """
 
     send: collections.abc.Callable[
         [wire.Frame, wire.Address], collections.abc.Awaitable[None]
     ]
     lease_until: collections.abc.Callable[[], float]
-    retry: collections.abc.Callable[["Home", Record], collections.abc.Awaitable[bool]]
+    retry: collections.abc.Callable[
+        ["Home", Record], collections.abc.Awaitable[reasons.Reason]
+    ]
     report: collections.abc.Callable[["Home", Record], collections.abc.Awaitable[None]]
     make_queue: collections.abc.Callable[[int], queueing.Queue]
     max_deadline_s: float
     max_answer_bytes: int
     flow_idle_s: float
+    make_admission: collections.abc.Callable[[], admission.Admission] = (
+        admission.AdaptiveAdmission
+    )
+    learners: classes.Learners = dataclasses.field(default_factory=classes.Learners)
+    move: collections.abc.Callable[
+        ["Home", Record], collections.abc.Awaitable[bool]
+    ] = keep
+    repeat: collections.abc.Callable[
+        [Record, wire.Frame], collections.abc.Awaitable[None]
+    ] = ignore
+    note_request: collections.abc.Callable[[int], None] = lambda _: None
+    share_by_flow: bool = False
 
 
 def now_ms() -> int:
@@ -155,6 +211,10 @@
         self.context = context
         self.records: dict[queueing.Key, Record] = {}
         self.queue = context.make_queue(service.queue_limit)
+        self.admission = context.make_admission()
+        self.learner = context.learners.get(service.id)
+        self.occupancy = classes.Occupancy(service.work_class == "short")
+        self.monitor = health.Monitor()
         # Expiry of each flow in Unix milliseconds.
         self.flows: dict[int, int] = {}
         self.running: dict[queueing.Key, Record] = {}
@@ -250,7 +310,14 @@
     ) -> reasons.Reason:
         """Admit a request, or repeat what is known about it."""
         known = self.records.get(frame.key)
-        if known is not None:
+        passes = wire.passes(frame.flags)
+        if known is not None and known.state is RecordState.PASSED:
+            # A higher count means that the other home passed it back.
+            if passes <= known.passes:
+                known.caller = caller
+                await self.follow(known, frame)
+                return reasons.Reason.DUPLICATE
+        elif known is not None:
             known.caller = caller
             await self.repeat(known)
             return reasons.Reason.DUPLICATE
@@ -270,6 +337,11 @@
             work_class=self.classify(frame),
             keep_until_ms=frame.deadline_ms + int(DATAGRAM_LIFETIME_S * 1000),
             frame=frame,
+            forwarded=bool(frame.flags & wire.FLAG_STARTED),
+            forwards=int(bool(frame.flags & wire.FLAG_STARTED)),
+            passes=passes,
+            token=frame.token,
+            body_bytes=len(frame.body),
         )
         self.records[record.key] = record
         await self.admit(record, now)
@@ -277,10 +349,11 @@
 
     def classify(self, frame: wire.Frame) -> wire.WorkClass:
         """Return the work class of a request."""
-        if frame.work_class is not wire.WorkClass.UNDECLARED:
-            return frame.work_class
-        declared = {"short": wire.WorkClass.SHORT, "long": wire.WorkClass.LONG}
-        return declared.get(self.service.work_class, wire.WorkClass.UNDECLARED)
+        found = classes.classify(frame, self.service.work_class, self.learner)
+        self.occupancy.arrived(found)
+        if not wire.passes(frame.flags):
+            self.context.note_request(self.service.id)
+        return found
 
     async def admit(self, record: Record, now: int) -> None:
         """Queue a request that has just arrived, or end it."""
@@ -313,14 +386,50 @@
         )
 
     async def enqueue(self, record: Record) -> None:
-        """Put a request in the queue."""
-        waiting = queueing.Waiting(record.key, record.deadline_ms, record.work_class)
-        refused = self.queue.push(waiting)
+        """Put a request in the queue, move it elsewhere, or refuse it."""
+        if record.idempotent and await self.context.move(self, record):
+            return
+        service_s = self.admission.service_s(record.work_class)
+        waiting = queueing.Waiting(
+            record.key,
+            record.deadline_ms,
+            record.work_class,
+            record.flow if self.context.share_by_flow else record.caller[0],
+            int(1000 * service_s),
+        )
+        slots, busy = self.slots_for(record.work_class)
+        decided = self.admission.decide(waiting, self.queue, slots, busy, now_ms())
+        refused = decided.reason
+        if decided.displaced is not None:
+            await self.displace(decided.displaced)
+        if refused is reasons.Reason.NONE:
+            refused = self.queue.push(waiting)
         if refused is not reasons.Reason.NONE:
             await self.refuse(record, refused)
             return
         self.work_added.set()
 
+    def slots_for(self, work_class: wire.WorkClass) -> tuple[int, int]:
+        """Return how many slots a class may use, and how many of them are busy."""
+        busy = len(self.running) + self.former_slots
+        long = self.long_running()
+        if work_class is wire.WorkClass.LONG:
+            return self.occupancy.long_limit(self.target.slots), long
+        return max(1, self.target.slots - long), busy - long
+
+    async def displace(self, waiting: queueing.Waiting) -> None:
+        """Refuse a waiting request in favour of a caller that has fewer."""
+        record = self.records.get(waiting.key)
+        if self.queue.remove(waiting.key) and record is not None:
+            await self.refuse(record, reasons.Reason.CALLER_SHARE)
+
+    async def follow(self, record: Record, frame: wire.Frame) -> None:
+        """Send a frame after a request that was passed on, if it is known where."""
+        if record.passed_token == wire.EMPTY_TOKEN:
+            await self.reply(record, wire.Kind.PENDING)
+        else:
+            await self.context.repeat(record, frame)
+
     async def repeat(self, record: Record) -> None:
         """Tell a caller that sent a request again what is known about it."""
         if record.state is RecordState.ANSWERED:
@@ -366,7 +475,9 @@
         if record is None:
             return reasons.Reason.MALFORMED
         record.caller = caller
-        if record.state is RecordState.QUEUED and self.queue.remove(record.key):
+        if record.state is RecordState.PASSED:
+            await self.follow(record, frame)
+        elif record.state is RecordState.QUEUED and self.queue.remove(record.key):
             await self.refuse(record, reasons.Reason.CANCELLED)
         elif record.state is RecordState.RUNNING:
             record.cancel.set()
@@ -383,7 +494,13 @@
             chosen = self.take(expired)
             with anyio.CancelScope(shield=True):
                 for record in expired:
-                    await self.refuse(record, reasons.Reason.DEADLINE_PASSED)
+                    late = record.deadline_ms <= now_ms()
+                    await self.refuse(
+                        record,
+                        reasons.Reason.DEADLINE_PASSED
+                        if late
+                        else reasons.Reason.DEADLINE_UNREACHABLE,
+                    )
             if chosen is not None:
                 return chosen
             if self.work_added.is_set():
@@ -395,22 +512,30 @@
     def take(self, expired: list[Record]) -> Record | None:
         """Remove a request from the queue and mark it as running.
 
-        Requests that are past their deadline are moved to `expired`.
+        Requests that cannot end before their deadline are moved to `expired`.
         """
         if self.handed_over_to or self.awaiting_from:
             return None
+        if anyio.current_time() < self.monitor.paused_until:
+            return None
         if len(self.running) + self.former_slots >= self.target.slots:
             return None
         passed_over = []
         chosen = None
         while chosen is None:
-            waiting = self.queue.pop(self.long_running(), self.target.slots)
+            waiting = self.queue.pop(
+                self.long_running(), self.occupancy.long_limit(self.target.slots)
+            )
             if waiting is None:
                 break
             record = self.records.get(waiting.key)
             if record is None or record.state is not RecordState.QUEUED:
                 continue
-            if record.deadline_ms <= now_ms():
+            now = now_ms()
+            # An idle target tries every request, which corrects its estimates.
+            if record.deadline_ms <= now or (
+                self.running and self.admission.too_late(waiting, now)
+            ):
                 expired.append(record)
             elif not record.idempotent and not self.has_authority():
                 passed_over.append(waiting)
@@ -422,12 +547,61 @@
             chosen.state = RecordState.RUNNING
             chosen.started_at = anyio.current_time()
             self.running[chosen.key] = chosen
+            self.occupancy.change(chosen.work_class, 1)
         return chosen
 
+    def release(self, record: Record) -> bool:
+        """Free the slot of a request; False if it held none."""
+        if self.running.pop(record.key, None) is None:
+            return False
+        self.occupancy.change(record.work_class, -1)
+        self.work_added.set()
+        return True
+
+    def settle(
+        self, record: Record, state: RecordState, reason: reasons.Reason
+    ) -> None:
+        """Free the slot of a request and learn from its outcome."""
+        if not self.release(record):
+            return
+        now = anyio.current_time()
+        seconds = now - record.started_at
+        if reason is reasons.Reason.SHED_BY_TARGET:
+            self.monitor.on_shed(now)
+        elif state is RecordState.ANSWERED:
+            self.admission.observe(record.work_class, seconds)
+            self.learner.observe(record.body_bytes, seconds)
+            self.monitor.on_outcome(good=True, now=now)
+        elif reason is reasons.Reason.TARGET_CONNECTION_LOST:
+            self.monitor.on_outcome(good=False, now=now)
+        elif record.deadline_ms <= now_ms():
+            # It took at least this long, and its target did not answer in time.
+            if seconds > self.admission.service_s(record.work_class):
+                self.admission.observe(record.work_class, seconds)
+            self.monitor.on_outcome(good=False, now=now)
+
+    def mark_passed(self, record: Record, token: bytes) -> None:
+        """Note that a request was given to the target that a token names."""
+        record.state = RecordState.PASSED
+        record.passed_token = token
+        record.frame = None
+
+    def utilisation(self) -> float:
+        """Return the share of busy slots over the last seconds.
+
+        A target that reports more busy slots than this home uses has other work;
+        one that reports fewer is not believed.
+        """
+        elsewhere_busy = max(0, self.monitor.reported_busy - len(self.running))
+        busy = self.occupancy.mean() + elsewhere_busy
+        return min(1.0, busy / max(1, self.target.slots))
+
     def long_running(self) -> int:
         """Return the number of slots that have long work."""
+        long_since = anyio.current_time() - self.learner.long_after_s()
         return sum(
-            record.work_class is wire.WorkClass.LONG for record in self.running.values()
+            record.work_class is wire.WorkClass.LONG or record.started_at < long_since
+            for record in self.running.values()
         )
 
     def start_by_ms(self, record: Record) -> int:
@@ -479,6 +653,7 @@
             record.answer = Answer(
                 expected=max(frame.pieces, 1), total_bytes=frame.total_bytes
             )
+        record.progress_at = anyio.current_time()
         answer = record.answer
         answer.pieces.append(frame.body)
         answer.size += len(frame.body)
@@ -501,6 +676,7 @@
                 frame.pieces = answer.expected
                 frame.total_bytes = answer.total_bytes
                 frame.body = answer.pieces[piece]
+                frame.token = record.token
                 await self.context.send(frame, record.caller)
 
     # Outcomes.
@@ -521,7 +697,7 @@
         record.state = state
         record.reason = reason
         record.frame = None
-        self.running.pop(record.key, None)
+        self.settle(record, state, reason)
         self.count(record)
         if state is RecordState.REFUSED:
             errors.invariant(
@@ -582,9 +758,14 @@
         now = now_ms()
         for waiting in list(self.queue.waiting()):
             record = self.records.get(waiting.key)
-            if record is not None and record.deadline_ms <= now:
+            if record is None:
+                continue
+            if record.deadline_ms <= now:
                 self.queue.remove(waiting.key)
                 await self.refuse(record, reasons.Reason.DEADLINE_PASSED)
+            elif self.running and self.admission.too_late(waiting, now):
+                self.queue.remove(waiting.key)
+                await self.refuse(record, reasons.Reason.DEADLINE_UNREACHABLE)
         settled = self.waiting_ended()
         for record in list(self.records.values()):
             if record.state is RecordState.WAITING and settled:
@@ -687,7 +868,7 @@
             if record.former == host:
                 if record.state is RecordState.RUNNING:
                     self.former_slots = max(0, self.former_slots - 1)
-                if record.state in (RecordState.RUNNING, RecordState.ANSWERED):
+                if elsewhere(record.state):
                     record.state = RecordState.UNKNOWN
                     record.reason = reasons.Reason.HOME_CHANGED
                 record.former = ""
@@ -709,7 +890,7 @@
 
 def elsewhere(state: RecordState) -> bool:
     """Tell whether a request in this state stays at its former home."""
-    return state in (RecordState.RUNNING, RecordState.ANSWERED)
+    return state in (RecordState.RUNNING, RecordState.ANSWERED, RecordState.PASSED)
 
 
 def export_record(record: Record, me: str) -> typing.Any:
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -31,6 +31,9 @@
 
 LOAD_HEALTHY = 1
 LOAD_DRAINING = 2
+LOAD_RAMPING = 4
+# A target below this share of its weight is reported as ramping up.
+RAMPING_BELOW = 0.6
 
 
 class Homes:
@@ -74,11 +77,8 @@
                 in_flight=min(len(entry.running) + entry.former_slots, 32_767),
                 queued=min(len(entry.queue), 32_767),
                 flows=len(entry.flows),
-                state=(LOAD_HEALTHY if entry.healthy else 0)
-                | (LOAD_DRAINING if entry.target.leaving else 0),
-                utilisation_permille=min(
-                    1_000, 1_000 * len(entry.running) // max(1, entry.target.slots)
-                ),
+                state=load_state(entry),
+                utilisation_permille=int(1_000 * entry.utilisation()),
             )
             for number, entry in self.homes.items()
         ]
@@ -312,6 +312,16 @@
         return reasons.Reason.NO_HOME
 
 
+def load_state(entry: home.Home) -> int:
+    """Return the flags of a target's load in heartbeats."""
+    ramping = entry.monitor.share(anyio.current_time()) < RAMPING_BELOW
+    return (
+        (LOAD_HEALTHY if entry.healthy else 0)
+        | (LOAD_DRAINING if entry.target.leaving else 0)
+        | (LOAD_RAMPING if ramping else 0)
+    )
+
+
 def accepted(answer: result.Result[tuple[str, typing.Any], reasons.Reason]) -> bool:
     """Tell whether a peer accepted a message."""
     if isinstance(answer, result.Failure):
--- a/basilgate/metrics.py
+++ b/basilgate/metrics.py
@@ -34,7 +34,11 @@
     buckets=LATENCY_BUCKETS_S,
 )
 FORWARDED = counter("forwarded_requests_total", "Requests sent to targets, by service")
-RETRIES = counter("retries_total", "Retries at another target, by service")
+RETRIES = counter("retries_total", "Retries, by service and outcome")
+SPILLED = counter("spilled_total", "Opens and requests moved, by service and kind")
+HEALTH_CHANGES = counter(
+    "target_health_changes_total", "Targets ejected and reinstated, by cause"
+)
 CONTROL_BYTES = counter(
     "control_bytes_total", "Bytes of control messages, by direction and message"
 )
--- a/basilgate/opening.py
+++ b/basilgate/opening.py
@@ -11,6 +11,7 @@
 
 from basilgate import (
     effective,
+    health,
     homes,
     membership,
     metrics,
@@ -24,6 +25,8 @@
 )
 
 OPEN_MEMORY_S = 10.0
+# Share of the weight of a target whose home reports that it ramps up.
+REPORTED_RAMP = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,6 +77,10 @@
         self.recent: dict[int, Opened] = {}
         # Flows placed since the home's last report, by target.
         self.placed: dict[int, int] = {}
+        # Newest load that a home at another host reported, by target.
+        self.reported: dict[int, typing.Any] = {}
+        # Domain that an open was spilled to, and when to forget it (monotonic).
+        self.spilled: dict[int, tuple[str, float]] = {}
         self.is_reachable: collections.abc.Callable[[str], bool] = lambda _: True
 
     # Who decides.
@@ -104,19 +111,14 @@
 
     def candidates(self, service: int) -> list[placement.Candidate]:
         """Return the targets of the own domain that may get a new flow."""
-        reported = {
-            load.target: load
-            for peer in self.members.peers.values()
-            for load in peer.loads
-        }
         found = []
         for target in self.config.by_service.get(service, []):
             if target.domain != self.members.domain or not target.admits:
                 continue
-            candidate = self.candidate(target, reported.get(target.id))
+            candidate = self.candidate(target, self.reported.get(target.id))
             if candidate is not None:
                 found.append(candidate)
-        return found
+        return health.usable(found, lambda candidate: candidate.healthy)
 
     def candidate(
         self, target: effective.Target, reported: typing.Any
@@ -125,20 +127,34 @@
         mine = self.own.homes.get(target.id)
         placed = self.placed.get(target.id, 0)
         if mine is not None:
-            if not mine.healthy or len(mine.flows) >= target.connections:
+            if len(mine.flows) >= target.connections:
                 return None
             return placement.Candidate(
-                target, len(mine.flows), len(mine.running), len(mine.queue)
+                target,
+                len(mine.flows),
+                len(mine.running) + mine.former_slots,
+                len(mine.queue),
+                utilisation=mine.utilisation(),
+                reported_load=mine.monitor.reported_busy / max(1, target.slots),
+                ramp=mine.monitor.share(anyio.current_time()),
+                healthy=mine.healthy,
             )
         if reported is None:
             return placement.Candidate(target, placed=placed)
         load = reported
-        if not load.state & homes.LOAD_HEALTHY:
-            return None
         if load.flows + placed >= target.connections:
             return None
+        utilisation = load.utilisation_permille / 1_000
         return placement.Candidate(
-            target, load.flows, load.in_flight, load.queued, placed
+            target,
+            load.flows,
+            load.in_flight,
+            load.queued,
+            placed,
+            utilisation=utilisation,
+            reported_load=utilisation,
+            ramp=REPORTED_RAMP if load.state & homes.LOAD_RAMPING else 1.0,
+            healthy=bool(load.state & homes.LOAD_HEALTHY),
         )
 
     def remembered(self, flow: int) -> Opened | None:
@@ -186,8 +202,11 @@
         now = anyio.current_time()
         for flow in [f for f, o in self.recent.items() if o.forget_at <= now]:
             del self.recent[flow]
+        for flow in [f for f, (_, at) in self.spilled.items() if at <= now]:
+            del self.spilled[flow]
 
     def on_loads(self, loads: collections.abc.Iterable[typing.Any]) -> None:
-        """Reset the counts of flows placed since the homes' last report."""
+        """Take in a report; the flows placed before it are counted in it."""
         for load in loads:
             self.placed.pop(load.target, None)
+            self.reported[load.target] = load
--- /dev/null
+++ b/basilgate/probing.py
@@ -0,0 +1,105 @@
+"""Probes of the targets' health and load endpoints, and the verdict on each."""
+
+import random
+
+import anyio
+import httpx
+import logbook
+
+from basilgate import health, home, logs, metrics
+
+LOGGER = logbook.Logger("health")
+
+PROBE_INTERVAL_S = 1.0
+# Probes of many homes must not coincide.
+PROBE_JITTER = 0.2
+PROBE_TIMEOUT_S = 0.8
+# The load endpoint lags by seconds anyway; it is read on every third probe.
+LOAD_EVERY = 3
+# A target is frozen if all its busy slots have had no answer for this long, and
+# for FROZEN_RATIO times the usual time of the work that they hold.
+FROZEN_S = 2.0
+FROZEN_RATIO = 10.0
+
+
+def is_frozen(entry: home.Home, now: float) -> bool:
+    """Tell whether no busy slot of a target has got an answer for too long."""
+    running = list(entry.running.values())
+    if not running:
+        return False
+
+    def overdue(record: home.Record) -> bool:
+        usual_s = entry.admission.service_s(record.work_class)
+        silent_s = now - max(record.started_at, record.progress_at)
+        return silent_s > max(FROZEN_S, FROZEN_RATIO * usual_s)
+
+    return all(overdue(record) for record in running)
+
+
+def refresh(entry: home.Home) -> None:
+    """Bring the verdict on a home's target up to date."""
+    now = anyio.current_time()
+    healthy = entry.monitor.update(now, is_frozen(entry, now))
+    if healthy != entry.healthy:
+        entry.healthy = healthy
+        cause = entry.monitor.cause.value
+        logs.event(
+            LOGGER.notice,
+            "target_reinstated" if healthy else "target_ejected",
+            target=entry.target.name,
+            cause=cause,
+            ejections=entry.monitor.ejections,
+        )
+        metrics.HEALTH_CHANGES.inc(
+            {"cause": cause, "change": "reinstated" if healthy else "ejected"}
+        )
+
+
+class Prober:
+    """Reads the health and load endpoints of the targets of this host.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        # One client for all targets bounds memory; it opens no socket before use.
+        self.client = httpx.AsyncClient(
+            timeout=PROBE_TIMEOUT_S,
+            limits=httpx.Limits(max_keepalive_connections=64),
+            trust_env=False,
+        )
+
+    async def run(self, entry: home.Home) -> None:
+        """Probe one target until its home ends here."""
+        rounds = 0
+        while not (entry.handed_over_to or entry.scope.cancel_called):
+            spread = self.rng.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
+            await anyio.sleep(PROBE_INTERVAL_S * spread)
+            host, port = entry.target.admin
+            url = f"http://{host}:{port}"
+            entry.monitor.on_probe(await self.is_healthy(url))
+            if rounds % LOAD_EVERY == 0:
+                await self.read_load(entry.monitor, url)
+            rounds += 1
+            refresh(entry)
+
+    async def is_healthy(self, url: str) -> bool:
+        """Return what the health endpoint says; no answer means no."""
+        try:
+            answer = await self.client.get(url + "/health")
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == httpx.codes.OK
+
+    async def read_load(self, monitor: health.Monitor, url: str) -> None:
+        """Note the load that a target reports; keep the last one without it."""
+        try:
+            report = (await self.client.get(url + "/load")).json()
+            monitor.reported_busy = int(report["busy"])
+            monitor.reported_slots = max(1, int(report["slots"]))
+        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            monitor.reported_busy = 0
--- a/basilgate/queueing.py
+++ b/basilgate/queueing.py
@@ -8,15 +8,30 @@
 from basilgate import reasons, registry, wire
 
 Key = tuple[int, int]
+Caller = str | int
+
+# Removed entries stay in the heap until they outnumber the queued ones by this.
+HEAP_SLACK = 32
 
 
 @dataclasses.dataclass(slots=True)
 class Waiting:
-    """A request in a queue; `deadline_ms` is Unix time in milliseconds."""
+    """A request in a queue.
+
+    `deadline_ms` is Unix time in milliseconds; `service_ms` is the time that the
+    request is expected to hold its slot; `caller` is whom its share counts for.
+    """
 
     key: Key
     deadline_ms: int
     work_class: wire.WorkClass
+    caller: Caller = ""
+    service_ms: int = 0
+
+    @property
+    def start_by_ms(self) -> int:
+        """Unix time in ms of the last start that still meets the deadline."""
+        return self.deadline_ms - self.service_ms
 
 
 class Queue(typing.Protocol):
@@ -25,10 +40,10 @@
     def push(self, waiting: Waiting) -> reasons.Reason:
         """Add a request; a reason other than NONE refuses it."""
 
-    def pop(self, long_running: int, slots: int) -> Waiting | None:
+    def pop(self, long_running: int, long_limit: int) -> Waiting | None:
         """Remove the next request that may take a slot.
 
-        `long_running` of the target's `slots` have long work.
+        `long_running` slots have long work, which may hold `long_limit`.
         """
 
     def remove(self, key: Key) -> bool:
@@ -39,82 +54,165 @@
     def waiting(self) -> collections.abc.Iterable[Waiting]:
         """Return the queued requests in any order."""
 
+    def lane(self, work_class: wire.WorkClass) -> "Lane":
+        """Return the part of the queue that holds requests of a class."""
 
-POLICIES: registry.Registry[collections.abc.Callable[[int], Queue]] = registry.Registry(
-    "queueing policy"
-)
 
+Maker = collections.abc.Callable[[int], Queue]
+POLICIES: registry.Registry[Maker] = registry.Registry("queueing policy")
 
-@POLICIES.register("fifo")
-class FifoQueue:
-    """First in, first out, without regard to deadline or class.
+
+class Lane:
+    """Requests in one order, with the number that each caller has queued.
 
     Parameters
     ----------
     limit : int
         Largest number of requests held.
+    by_deadline : bool
+        Whether the earliest deadline goes first, not the first arrival.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, by_deadline: bool) -> None:
         self.limit = limit
+        self.by_deadline = by_deadline
+        self.arrivals = 0
+        self.heap: list[tuple[int, int, Key]] = []
         self.entries: dict[Key, Waiting] = {}
+        self.callers: dict[Caller, int] = {}
 
     def push(self, waiting: Waiting) -> reasons.Reason:
-        """Add a request at the end."""
+        """Add a request."""
         if len(self.entries) >= self.limit:
             return reasons.Reason.QUEUE_FULL
+        self.arrivals += 1
+        order = waiting.deadline_ms if self.by_deadline else self.arrivals
+        heapq.heappush(self.heap, (order, self.arrivals, waiting.key))
         self.entries[waiting.key] = waiting
+        self.callers[waiting.caller] = self.callers.get(waiting.caller, 0) + 1
         return reasons.Reason.NONE
 
-    def pop(self, long_running: int, slots: int) -> Waiting | None:  # noqa: ARG002
-        """Remove the oldest request."""
-        if not self.entries:
-            return None
-        return self.entries.pop(next(iter(self.entries)))
+    def peek(self) -> Waiting | None:
+        """Return the next request without removing it."""
+        while self.heap:
+            waiting = self.entries.get(self.heap[0][2])
+            if waiting is not None:
+                return waiting
+            heapq.heappop(self.heap)
+        return None
+
+    def pop(self) -> Waiting | None:
+        """Remove the next request."""
+        waiting = self.peek()
+        if waiting is not None:
+            heapq.heappop(self.heap)
+            self.forget(waiting)
+        return waiting
 
     def remove(self, key: Key) -> bool:
         """Remove one request; False if it is not queued."""
-        return self.entries.pop(key, None) is not None
+        waiting = self.entries.get(key)
+        if waiting is None:
+            return False
+        self.forget(waiting)
+        if len(self.heap) > 2 * len(self.entries) + HEAP_SLACK:
+            self.heap = [entry for entry in self.heap if entry[2] in self.entries]
+            heapq.heapify(self.heap)
+        return True
+
+    def forget(self, waiting: Waiting) -> None:
+        """Take a request out of the counts."""
+        del self.entries[waiting.key]
+        left = self.callers[waiting.caller] - 1
+        if left:
+            self.callers[waiting.caller] = left
+        else:
+            del self.callers[waiting.caller]
+
+    def ahead(self, deadline_ms: int) -> int:
+        """Return how many queued requests go before one with this deadline."""
+        if not self.by_deadline:
+            return len(self.entries)
+        return sum(w.deadline_ms <= deadline_ms for w in self.entries.values())
+
+    def heaviest(self) -> Caller:
+        """Return the caller that has most requests queued."""
+        return max(self.callers, key=lambda caller: self.callers[caller])
+
+    def latest_of(self, caller: Caller) -> Waiting:
+        """Return the request of a caller that has the latest deadline."""
+        own = (w for w in self.entries.values() if w.caller == caller)
+        return max(own, key=lambda w: w.deadline_ms)
 
     def __len__(self) -> int:
         return len(self.entries)
 
+
+class SingleLaneQueue:
+    """Queue that holds all classes in one order."""
+
+    def __init__(self, limit: int, by_deadline: bool) -> None:
+        self.only = Lane(limit, by_deadline)
+
+    def push(self, waiting: Waiting) -> reasons.Reason:
+        """Add a request."""
+        return self.only.push(waiting)
+
+    def pop(self, long_running: int, long_limit: int) -> Waiting | None:  # noqa: ARG002
+        """Remove the next request, of whatever class."""
+        return self.only.pop()
+
+    def remove(self, key: Key) -> bool:
+        """Remove one request; False if it is not queued."""
+        return self.only.remove(key)
+
+    def __len__(self) -> int:
+        return len(self.only)
+
     def waiting(self) -> collections.abc.Iterable[Waiting]:
         """Return the queued requests."""
-        return list(self.entries.values())
+        return list(self.only.entries.values())
 
+    def lane(self, work_class: wire.WorkClass) -> Lane:  # noqa: ARG002
+        """Return the only lane."""
+        return self.only
 
-class DeadlineHeap:
-    """Requests of one class, earliest deadline first."""
 
-    def __init__(self) -> None:
-        self.heap: list[tuple[int, Key]] = []
-        self.entries: dict[Key, Waiting] = {}
+@POLICIES.register("fifo")
+class FifoQueue(SingleLaneQueue):
+    """First in, first out, without regard to deadline or class.
 
-    def push(self, waiting: Waiting) -> None:
-        """Add a request."""
-        self.entries[waiting.key] = waiting
-        heapq.heappush(self.heap, (waiting.deadline_ms, waiting.key))
+    Parameters
+    ----------
+    limit : int
+        Largest number of requests held.
+    """
 
-    def pop(self) -> Waiting | None:
-        """Remove the request with the earliest deadline."""
-        while self.heap:
-            _, key = heapq.heappop(self.heap)
-            waiting = self.entries.pop(key, None)
-            if waiting is not None:
-                return waiting
-        return None
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit, by_deadline=False)
 
-    def __len__(self) -> int:
-        return len(self.entries)
+
+@POLICIES.register("edf")
+class DeadlineQueue(SingleLaneQueue):
+    """Earliest deadline first, without regard to class.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of requests held.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit, by_deadline=True)
 
 
 @POLICIES.register("classed_edf")
 class ClassedDeadlineQueue:
-    """One queue for short and one for long work, earliest deadline first.
+    """One lane for short and one for long work, earliest deadline first.
 
-    Long work leaves one slot free for short work. Each class has its own limit,
-    so that long work cannot crowd out short work either.
+    Each class has its own limit, so that long work cannot crowd out short work.
+    Short work goes first, except that long work of which none runs takes a slot
+    when it would miss its last start before the next short request does.
 
     Parameters
     ----------
@@ -123,35 +221,31 @@
     """
 
     def __init__(self, limit: int) -> None:
-        self.limit = limit
-        self.short = DeadlineHeap()
-        self.long = DeadlineHeap()
+        self.short = Lane(limit, by_deadline=True)
+        self.long = Lane(limit, by_deadline=True)
 
-    def heap_for(self, work_class: wire.WorkClass) -> DeadlineHeap:
-        """Return the queue of a class; undeclared work counts as short."""
+    def lane(self, work_class: wire.WorkClass) -> Lane:
+        """Return the lane of a class; undeclared work counts as short."""
         return self.long if work_class is wire.WorkClass.LONG else self.short
 
     def push(self, waiting: Waiting) -> reasons.Reason:
-        """Add a request to the queue of its class."""
-        heap = self.heap_for(waiting.work_class)
-        if len(heap) >= self.limit:
-            return reasons.Reason.QUEUE_FULL
-        heap.push(waiting)
-        return reasons.Reason.NONE
-
-    def pop(self, long_running: int, slots: int) -> Waiting | None:
-        """Remove the next request: short work first, then long work."""
-        found = self.short.pop()
-        if found is None and long_running < max(1, slots - 1):
-            found = self.long.pop()
-        return found
+        """Add a request to the lane of its class."""
+        return self.lane(waiting.work_class).push(waiting)
+
+    def pop(self, long_running: int, long_limit: int) -> Waiting | None:
+        """Remove the next request that may take a slot."""
+        short = self.short.peek()
+        if short is None:
+            return self.long.pop() if long_running < long_limit else None
+        if long_running == 0:
+            long = self.long.peek()
+            if long is not None and long.start_by_ms < short.start_by_ms:
+                return self.long.pop()
+        return self.short.pop()
 
     def remove(self, key: Key) -> bool:
         """Remove one request; False if it is not queued."""
-        for heap in (self.short, self.long):
-            if heap.entries.pop(key, None) is not None:
-                return True
-        return False
+        return self.short.remove(key) or self.long.remove(key)
 
     def __len__(self) -> int:
         return len(self.short) + len(self.long)
--- /dev/null
+++ b/basilgate/retries.py
@@ -0,0 +1,142 @@
+"""Passing idempotent requests on to other targets: retries and their budget."""
+
+import collections.abc
+import dataclasses
+
+from basilgate import home, metrics, placement, reasons, wire
+
+# Retries per request, over any longer run of requests.
+RETRY_SHARE = 0.1
+# Unused budget is kept for this many retries.
+MAX_SAVED_RETRIES = 10.0
+# A request is passed on at most this often, retries and spill together.
+MAX_PASSES = 2
+
+
+class Budget:
+    """Budget of the retries of one service: a share of its requests.
+
+    Parameters
+    ----------
+    share : float
+        Retries for each request.
+    """
+
+    def __init__(self, share: float = RETRY_SHARE) -> None:
+        self.share = share
+        self.saved = 0.0
+
+    def deposit(self) -> None:
+        """Note a request that is not a retry."""
+        self.saved = min(MAX_SAVED_RETRIES, self.saved + self.share)
+
+    def spend(self) -> bool:
+        """Take one retry from the budget; False if none is left."""
+        # The tolerance covers the rounding of ten deposits of a tenth.
+        if self.saved < 1 - 1e-9:
+            return False
+        self.saved -= 1
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class Passing:
+    """Way of a request to the home of another target.
+
+    Attributes
+    ----------
+    candidates : callable
+        Returns the usable targets of a service in the own domain.
+    mint : callable
+        Returns a placement token of a flow for a target.
+    deliver : callable
+        Brings a caller's frame to the home that its token names.
+    """
+
+    candidates: collections.abc.Callable[[int], list[placement.Candidate]]
+    mint: collections.abc.Callable[[placement.Candidate, int], bytes]
+    deliver: collections.abc.Callable[
+        [wire.Frame, wire.Address], collections.abc.Awaitable[None]
+    ]
+
+    async def send(
+        self, entry: home.Home, record: home.Record, chosen: placement.Candidate
+    ) -> None:
+        """Give a request to another target; the record here points to it."""
+        frame = record.frame
+        assert frame is not None
+        entry.mark_passed(record, self.mint(chosen, record.flow))
+        await self.repeat(record, frame)
+
+    async def repeat(self, record: home.Record, frame: wire.Frame) -> None:
+        """Send a frame about a request that was passed on after it."""
+        flags = frame.flags
+        attempt = frame.attempt
+        if frame.kind is wire.Kind.REQUEST:
+            flags = wire.with_passes(flags, record.passes + 1)
+            flags |= wire.FLAG_STARTED if record.forwarded else 0
+            attempt = min(attempt + 1, 255)
+        passed = dataclasses.replace(
+            frame, token=record.passed_token, flags=flags, attempt=attempt
+        )
+        await self.deliver(passed, record.caller)
+
+
+class Retrier:
+    """Tries idempotent requests that failed again at another target.
+
+    A request is retried only at a target that is known to have room, so that
+    retries add nothing to a crest or an outage.
+
+    Parameters
+    ----------
+    passing : Passing
+        Way to the other target.
+    choose : placement.Policy
+        Choice among the targets with room.
+    share : float
+        Retries for each request of the service.
+    """
+
+    def __init__(
+        self, passing: Passing, choose: placement.Choice, share: float = RETRY_SHARE
+    ) -> None:
+        self.passing = passing
+        self.choose = choose
+        self.share = share
+        self.budgets: dict[int, Budget] = {}
+
+    def budget(self, service: int) -> Budget:
+        """Return the retry budget of a service."""
+        if service not in self.budgets:
+            self.budgets[service] = Budget(self.share)
+        return self.budgets[service]
+
+    def note_request(self, service: int) -> None:
+        """Note a request that is not a retry."""
+        self.budget(service).deposit()
+
+    async def retry(self, entry: home.Home, record: home.Record) -> reasons.Reason:
+        """Pass a failed request on; a reason other than NONE says why not."""
+        if not record.idempotent or record.frame is None or record.cancel.is_set():
+            return reasons.Reason.CANCELLED
+        service_s = entry.admission.service_s(record.work_class)
+        if home.now_ms() + 1000 * service_s >= record.deadline_ms:
+            return reasons.Reason.DEADLINE_UNREACHABLE
+        if record.passes >= MAX_PASSES:
+            return reasons.Reason.RETRY_BUDGET
+        with_room = [
+            candidate
+            for candidate in self.passing.candidates(entry.target.service)
+            if candidate.target.id != entry.target.id and candidate.has_room
+        ]
+        if not with_room:
+            return reasons.Reason.NO_TARGET
+        if not self.budget(entry.target.service).spend():
+            metrics.RETRIES.inc(
+                {"service": entry.service.name, "outcome": "retry_budget"}
+            )
+            return reasons.Reason.RETRY_BUDGET
+        metrics.RETRIES.inc({"service": entry.service.name, "outcome": "passed_on"})
+        await self.passing.send(entry, record, self.choose(with_room))
+        return reasons.Reason.NONE
--- a/basilgate/settings.py
+++ b/basilgate/settings.py
@@ -91,7 +91,7 @@
     placement: str = "exact"
     queueing: str = "classed_edf"
     admission: str = "adaptive"
-    spill: str = "one_hop"
+    spill: str = "load_transfer"
 
 
 class LimitsSection(Section):
@@ -103,6 +103,10 @@
     max_deadline_s: float = pydantic.Field(default=60.0, gt=0)
     token_lifetime_s: int = pydantic.Field(default=86_400, gt=0)
     flow_idle_s: float = pydantic.Field(default=120.0, gt=0)
+    # Retries for each request of a service, seen from one host.
+    retry_share: float = pydantic.Field(default=0.1, ge=0, le=0.1)
+    # Whom the share of a queue counts for.
+    caller_identity: typing.Literal["address", "flow"] = "address"
 
 
 class LoggingSection(Section):
--- a/basilgate/slots.py
+++ b/basilgate/slots.py
@@ -114,7 +114,7 @@
     owner = slot.owner
     if not record.idempotent and not owner.has_authority():
         # The lease ran out between the choice and now; nothing was sent.
-        owner.running.pop(record.key, None)
+        owner.release(record)
         record.state = home.RecordState.QUEUED
         await owner.enqueue(record)
         return True
@@ -187,16 +187,24 @@
     shown = (
         reason if reason is not reasons.Reason.NONE else reasons.Reason.SHED_BY_TARGET
     )
-    if record.idempotent and await owner.context.retry(owner, record):
-        return
+    owner.settle(record, home.RecordState.REFUSED, shown)
+    if record.idempotent:
+        refused = await owner.context.retry(owner, record)
+        if refused is reasons.Reason.NONE:
+            return
+        if refused is reasons.Reason.RETRY_BUDGET:
+            shown = refused
     await owner.refuse(record, shown)
 
 
 async def connection_lost(owner: home.Home, record: home.Record) -> None:
     """End or retry a request whose connection ended."""
-    repeatable = record.idempotent and record.answer is None
-    if repeatable and await owner.context.retry(owner, record):
-        return
-    await owner.finish(
-        record, home.RecordState.UNKNOWN, reasons.Reason.TARGET_CONNECTION_LOST
-    )
+    lost = reasons.Reason.TARGET_CONNECTION_LOST
+    owner.settle(record, home.RecordState.UNKNOWN, lost)
+    if record.idempotent and record.answer is None:
+        refused = await owner.context.retry(owner, record)
+        if refused is reasons.Reason.NONE:
+            return
+        if refused is reasons.Reason.RETRY_BUDGET:
+            lost = refused
+    await owner.finish(record, home.RecordState.UNKNOWN, lost)
--- /dev/null
+++ b/basilgate/spill.py
@@ -0,0 +1,254 @@
+"""Sharing of load between targets and between failure domains.
+
+`load_transfer` follows "The load transfer model" (Bernard Ycart; summary by Philippe
+Robert, INRIA 1996): a request that arrives at a full node moves down the gradient of
+the load to a local minimum among the neighbours, and a node that empties takes over
+work from a fuller neighbour.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+
+from basilgate import home, metrics, placement, registry, retries
+from peerproto import ttypes
+
+# Loads of so many services fit a datagram beside the rest of a ping.
+SERVICES_PER_PING = 32
+# A load that another domain reported is used for this time.
+DOMAIN_LOAD_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Load of a target or of a domain's targets of one service.
+
+    `sent` is the work sent there since its last report.
+    """
+
+    name: str
+    busy: float
+    slots: int
+    queued: int
+    sent: int = 0
+
+    @property
+    def relative(self) -> float:
+        """Requests for each slot."""
+        return (self.busy + self.queued + self.sent) / max(self.slots, 1)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no slot is free."""
+        return self.relative >= 1.0
+
+
+Loads = collections.abc.Sequence[Load]
+
+
+class Spill(typing.Protocol):
+    """What decides whether work goes to a neighbour."""
+
+    # Whether waiting work moves when a neighbour reports room.
+    takes_over: bool
+
+    def choose(self, own: Load, neighbours: Loads) -> Load | None:
+        """Return the neighbour that an arrival goes to, None to keep it."""
+
+
+POLICIES: registry.Registry[collections.abc.Callable[[], Spill]] = registry.Registry(
+    "spill policy"
+)
+
+
+@POLICIES.register("none")
+class NoSpill:
+    """Keeps all work where it arrives."""
+
+    takes_over = False
+
+    def choose(self, own: Load, neighbours: Loads) -> Load | None:  # noqa: ARG002
+        """Keep the arrival."""
+        return None
+
+
+@POLICIES.register("one_hop")
+class OneHop:
+    """Sends what arrives at a full node to the least loaded one with room."""
+
+    takes_over = False
+
+    def choose(self, own: Load, neighbours: Loads) -> Load | None:
+        """Return the least loaded neighbour if it has a free slot."""
+        if not own.is_full or not neighbours:
+            return None
+        least = min(neighbours, key=lambda load: load.relative)
+        return None if least.is_full else least
+
+
+@POLICIES.register("load_transfer")
+class LoadTransfer:
+    """Moves work down the gradient of the load, also between full nodes.
+
+    All nodes of a domain are neighbours, so that the least loaded neighbour is
+    the local minimum and one step reaches it.
+    """
+
+    takes_over = True
+
+    def choose(self, own: Load, neighbours: Loads) -> Load | None:
+        """Return the least loaded neighbour if the arrival is better off there."""
+        if not own.is_full or not neighbours:
+            return None
+        least = min(neighbours, key=lambda load: load.relative)
+        # A step must lead downwards with the request counted on both sides.
+        gain = own.relative - least.relative - 1 / max(least.slots, 1)
+        return least if gain > 0 else None
+
+
+def load_of(candidate: placement.Candidate, sent: int = 0) -> Load:
+    """Return the load of a target."""
+    return Load(
+        str(candidate.target.id),
+        candidate.in_flight,
+        candidate.target.slots,
+        candidate.queued,
+        sent,
+    )
+
+
+def total(name: str, candidates: placement.Candidates) -> Load:
+    """Return the load of several targets together."""
+    return Load(
+        name,
+        sum(placement.busy_slots(c) - c.queued for c in candidates),
+        sum(c.target.slots for c in candidates),
+        sum(c.queued for c in candidates),
+    )
+
+
+class DomainLoads:
+    """Loads of the services in the failure domains, as pings carry them."""
+
+    def __init__(self) -> None:
+        # Load and its expiry on the monotonic clock, by service and domain.
+        self.known: dict[int, dict[str, tuple[Load, float]]] = {}
+        self.position = 0
+
+    def update(self, domain: str, loads: collections.abc.Iterable[typing.Any]) -> None:
+        """Take in the loads that another domain reports."""
+        forget_at = anyio.current_time() + DOMAIN_LOAD_S
+        for part in loads:
+            slots = part.flows
+            busy = slots * part.utilisation_permille / 1_000
+            load = Load(domain, busy, slots, part.queued)
+            self.known.setdefault(part.target, {})[domain] = (load, forget_at)
+
+    def of(
+        self, service: int, is_reachable: collections.abc.Callable[[str], bool]
+    ) -> list[Load]:
+        """Return the loads of a service in the other domains known lately."""
+        now = anyio.current_time()
+        return [
+            load
+            for domain, (load, forget_at) in self.known.get(service, {}).items()
+            if forget_at > now and is_reachable(domain) and load.slots
+        ]
+
+    def report(
+        self,
+        services: collections.abc.Sequence[int],
+        candidates: collections.abc.Callable[[int], list[placement.Candidate]],
+    ) -> list[typing.Any]:
+        """Return the own domain's loads for a ping, some services at a time.
+
+        A part has the service in `target` and its number of slots in `flows`.
+        """
+        parts = []
+        for offset in range(min(SERVICES_PER_PING, len(services))):
+            service = services[(self.position + offset) % len(services)]
+            load = total("", candidates(service))
+            if load.slots:
+                busy = int(1_000 * load.busy / load.slots)
+                queued = min(load.queued, 32_767)
+                parts.append(ttypes.TargetLoad(service, 0, queued, load.slots, 1, busy))
+        self.position += SERVICES_PER_PING
+        return parts
+
+
+class Spiller:
+    """Moves idempotent requests that wait at a full target to another one.
+
+    Parameters
+    ----------
+    policy : Spill
+        Decision.
+    passing : retries.Passing
+        Way to the other target.
+    """
+
+    def __init__(self, policy: Spill, passing: retries.Passing) -> None:
+        self.policy = policy
+        self.passing = passing
+        # Requests moved to a target since its home last reported.
+        self.sent: dict[int, int] = {}
+        # Returns a target of another domain that has room, None if there is none.
+        self.elsewhere: collections.abc.Callable[[int], placement.Candidate | None] = (
+            lambda _: None
+        )
+
+    def on_report(self, target: int) -> None:
+        """Forget what was moved to a target that has just reported."""
+        self.sent.pop(target, None)
+
+    async def move(self, entry: home.Home, record: home.Record) -> bool:
+        """Move a request that has not been forwarded; False keeps it."""
+        if not record.idempotent or record.frame is None or record.passes:
+            return False
+        own = Load("", len(entry.running), entry.target.slots, len(entry.queue))
+        if entry.healthy and not own.is_full:
+            return False
+        chosen = self.choose(entry, own)
+        if chosen is None:
+            return False
+        self.sent[chosen.target.id] = self.sent.get(chosen.target.id, 0) + 1
+        metrics.SPILLED.inc({"service": entry.service.name, "kind": "request"})
+        await self.passing.send(entry, record, chosen)
+        return True
+
+    def choose(self, entry: home.Home, own: Load) -> placement.Candidate | None:
+        """Return the target that a request goes to, None to keep it."""
+        by_name = {
+            str(candidate.target.id): candidate
+            for candidate in self.passing.candidates(entry.target.service)
+            if candidate.target.id != entry.target.id
+        }
+        loads = [
+            load_of(candidate, self.sent.get(candidate.target.id, 0))
+            for candidate in by_name.values()
+        ]
+        if not entry.healthy:
+            # Whatever waits at a target without answers is better off elsewhere.
+            own = dataclasses.replace(own, queued=1_000_000)
+        chosen = self.policy.choose(own, loads)
+        if chosen is not None:
+            return by_name[chosen.name]
+        if isinstance(self.policy, NoSpill) or any(not load.is_full for load in loads):
+            return None
+        return self.elsewhere(entry.target.service)
+
+    async def rebalance(self, entry: home.Home) -> None:
+        """Move waiting work after a report, if a neighbour has taken up less."""
+        if not (self.policy.takes_over or not entry.healthy):
+            return
+        for waiting in list(entry.queue.waiting()):
+            record = entry.records.get(waiting.key)
+            if record is None or not record.idempotent or record.passes:
+                continue
+            if not entry.queue.remove(waiting.key):
+                continue
+            if not await self.move(entry, record):
+                entry.queue.push(waiting)
+                return
--- a/basilgate/wire.py
+++ b/basilgate/wire.py
@@ -34,6 +34,9 @@
 
 FLAG_IDEMPOTENT = 1
 FLAG_STARTED = 2
+# Bits 2 and 3 of a REQUEST count how often it was passed to another target.
+PASSES_SHIFT = 2
+PASSES_MASK = 0b1100
 
 
 class Kind(enum.IntEnum):
@@ -101,6 +104,16 @@
         return (self.flow, self.request)
 
 
+def passes(flags: int) -> int:
+    """Return how often a request was passed to another target."""
+    return (flags & PASSES_MASK) >> PASSES_SHIFT
+
+
+def with_passes(flags: int, count: int) -> int:
+    """Return flags with the number of passes, at most 3."""
+    return flags & ~PASSES_MASK | min(count, 3) << PASSES_SHIFT
+
+
 Address = tuple[str, int]
 
 
