--- a/basilgate/health.py
+++ b/basilgate/health.py
@@ -56,7 +56,8 @@
     """Health of one target as its home sees it.
 
     Times are on the monotonic clock in seconds. `reported_busy` is the number of
-    busy slots by the last report, `ejections` that within `FLAP_MEMORY_S`.
+    busy slots by the last report, `foreign_busy` that of slots used by others,
+    `ejections` that of ejections within `FLAP_MEMORY_S`.
     """
 
     good: Recent = dataclasses.field(default_factory=Recent)
@@ -71,7 +72,8 @@
     paused_until: float = 0.0
     sheds_in_row: int = 0
     reported_busy: int = 0
-    reported_slots: int = 1
+    foreign_busy: int = 0
+    foreign_before: int = 0
 
     # Evidence.
 
@@ -79,6 +81,18 @@
         """Take in the answer of the health endpoint, or that none came."""
         self.probe_failures = 0 if healthy else self.probe_failures + 1
 
+    def on_load(self, busy: int, running: int) -> None:
+        """Take in a report of busy slots while `running` requests run from here.
+
+        A report of fewer slots than this home uses is not believed. Slots beyond
+        them count as used by others once two reports in a row say so, because a
+        report and this home's count are not taken at the same moment.
+        """
+        self.reported_busy = busy
+        foreign = max(0, busy - running)
+        self.foreign_busy = min(foreign, self.foreign_before)
+        self.foreign_before = foreign
+
     def on_outcome(self, good: bool, now: float) -> None:
         """Take in the outcome of a real request."""
         (self.good if good else self.bad).add(now)
@@ -162,6 +176,7 @@
             "ejected_for_s": round(max(0.0, self.ejected_until - now), 1),
             "share_of_weight": round(self.share(now), 2),
             "reported_busy": self.reported_busy,
+            "foreign_busy": self.foreign_busy,
         }
 
 
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -589,11 +589,9 @@
     def utilisation(self) -> float:
         """Return the share of busy slots over the last seconds.
 
-        A target that reports more busy slots than this home uses has other work;
-        one that reports fewer is not believed.
+        Slots that others use count by the target's reports.
         """
-        elsewhere_busy = max(0, self.monitor.reported_busy - len(self.running))
-        busy = self.occupancy.mean() + elsewhere_busy
+        busy = self.occupancy.mean() + self.monitor.foreign_busy
         return min(1.0, busy / max(1, self.target.slots))
 
     def long_running(self) -> int:
--- a/basilgate/metrics.py
+++ b/basilgate/metrics.py
@@ -36,6 +36,9 @@
 FORWARDED = counter("forwarded_requests_total", "Requests sent to targets, by service")
 RETRIES = counter("retries_total", "Retries, by service and outcome")
 SPILLED = counter("spilled_total", "Opens and requests moved, by service and kind")
+PROBES_FAILED = counter(
+    "failed_probes_total", "Probes of targets without an answer, by endpoint"
+)
 HEALTH_CHANGES = counter(
     "target_health_changes_total", "Targets ejected and reinstated, by cause"
 )
--- a/basilgate/opening.py
+++ b/basilgate/opening.py
@@ -77,6 +77,8 @@
         self.recent: dict[int, Opened] = {}
         # Flows placed since the home's last report, by target.
         self.placed: dict[int, int] = {}
+        # Flows placed in the last seconds, by target.
+        self.fresh: dict[int, health.Recent] = {}
         # Newest load that a home at another host reported, by target.
         self.reported: dict[int, typing.Any] = {}
         # Domain that an open was spilled to, and when to forget it (monotonic).
@@ -126,6 +128,8 @@
         """Return a target with its load, None if it cannot take a flow."""
         mine = self.own.homes.get(target.id)
         placed = self.placed.get(target.id, 0)
+        recent = self.fresh.get(target.id)
+        fresh = recent.at(anyio.current_time()) if recent is not None else 0.0
         if mine is not None:
             if len(mine.flows) >= target.connections:
                 return None
@@ -134,6 +138,7 @@
                 len(mine.flows),
                 len(mine.running) + mine.former_slots,
                 len(mine.queue),
+                fresh=fresh,
                 utilisation=mine.utilisation(),
                 reported_load=mine.monitor.reported_busy / max(1, target.slots),
                 ramp=mine.monitor.share(anyio.current_time()),
@@ -141,7 +146,7 @@
                 exact=True,
             )
         if reported is None:
-            return placement.Candidate(target, placed=placed)
+            return placement.Candidate(target, placed=placed, fresh=fresh)
         load = reported
         if load.flows + placed >= target.connections:
             return None
@@ -152,6 +157,7 @@
             load.in_flight,
             load.queued,
             placed,
+            fresh,
             utilisation=utilisation,
             reported_load=utilisation,
             ramp=REPORTED_RAMP if load.state & homes.LOAD_RAMPING else 1.0,
@@ -179,6 +185,7 @@
             return result.Failure(reasons.Reason.NO_TARGET)
         target = self.policy(found, self.rng).target
         self.placed[target.id] = self.placed.get(target.id, 0) + 1
+        self.fresh.setdefault(target.id, health.Recent()).add(anyio.current_time())
         opened = Opened(
             self.mint(target, frame.flow),
             target.id,
--- a/basilgate/placement.py
+++ b/basilgate/placement.py
@@ -6,6 +6,10 @@
 
 from basilgate import effective, registry
 
+# Weight of the number of flows beside their activity. Without it a target could
+# collect idle flows that become active later; more of it hides the activity.
+FLOW_SHARE = 0.02
+
 
 @dataclasses.dataclass(slots=True)
 class Candidate:
@@ -13,9 +17,9 @@
 
     `flows`, `in_flight`, `queued`, and `utilisation` (share of busy slots over the
     last seconds) come from the target's home; `placed` is the number of flows
-    placed here since the home last reported; `reported_load` is the share of busy
-    slots according to the target itself; `ramp` lowers the share of a target that
-    has just started.
+    placed here since the home last reported, `fresh` that of the last seconds;
+    `reported_load` is the share of busy slots according to the target itself;
+    `ramp` lowers the share of a target that has just started.
     """
 
     target: effective.Target
@@ -23,6 +27,7 @@
     in_flight: int = 0
     queued: int = 0
     placed: int = 0
+    fresh: float = 0.0
     utilisation: float = 0.0
     reported_load: float = 0.0
     ramp: float = 1.0
@@ -114,19 +119,18 @@
 def choose_exact(candidates: Candidates, rng: random.Random) -> Candidate:
     """Choose the lowest load by the homes' counts, ties at random.
 
-    The load is the mean of two shares: that of the flows, which counts flows that
-    have not shown their activity yet, and that of the busy slots, which counts
-    the activity of the others. Flows placed since the last report are added, so
-    that a report does not draw all flows to one target.
+    The load is a share of the busy slots, which counts the activity of flows, and
+    with less weight a share of the flows. Flows that were placed lately and do not
+    show in the busy slots yet count with the usual activity of a flow, so that a
+    report does not draw all flows to one target.
     """
     flows = 1.0 + sum(c.flows + c.placed for c in candidates)
     demand = 1e-3 + sum(busy_slots(c) for c in candidates)
 
     def load(candidate: Candidate) -> float:
-        placed = candidate.flows + candidate.placed + 1
-        # A flow placed since the report brings the usual activity of a flow.
-        busy = busy_slots(candidate) + candidate.placed * demand / flows
-        return (placed / flows + busy / demand) / candidate.weight
+        held = FLOW_SHARE * (candidate.flows + candidate.placed + 1)
+        busy = busy_slots(candidate) / demand
+        return (busy + (candidate.fresh + held) / flows) / candidate.weight
 
     return min(candidates, key=lambda c: (load(c), rng.random()))
 
--- a/basilgate/probing.py
+++ b/basilgate/probing.py
@@ -6,7 +6,7 @@
 import httpx
 import logbook
 
-from basilgate import health, home, logs, metrics
+from basilgate import home, logs, metrics
 
 LOGGER = logbook.Logger("health")
 
@@ -83,7 +83,7 @@
             url = f"http://{host}:{port}"
             entry.monitor.on_probe(await self.is_healthy(url))
             if rounds % LOAD_EVERY == 0:
-                await self.read_load(entry.monitor, url)
+                await self.read_load(entry, url)
             rounds += 1
             refresh(entry)
 
@@ -92,14 +92,15 @@
         try:
             answer = await self.client.get(url + "/health")
         except httpx.HTTPError:
+            metrics.PROBES_FAILED.inc({"endpoint": "health"})
             return False
         return answer.status_code == httpx.codes.OK
 
-    async def read_load(self, monitor: health.Monitor, url: str) -> None:
-        """Note the load that a target reports; keep the last one without it."""
+    async def read_load(self, entry: home.Home, url: str) -> None:
+        """Take in the load that a target reports; without it nothing is assumed."""
+        busy = 0
         try:
-            report = (await self.client.get(url + "/load")).json()
-            monitor.reported_busy = int(report["busy"])
-            monitor.reported_slots = max(1, int(report["slots"]))
+            busy = int((await self.client.get(url + "/load")).json()["busy"])
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
-            monitor.reported_busy = 0
+            metrics.PROBES_FAILED.inc({"endpoint": "load"})
+        entry.monitor.on_load(busy, len(entry.running))
--- a/lab/policybench.py
+++ b/lab/policybench.py
@@ -325,7 +325,7 @@
                     report_at += 3.0
                     for number, entry in rig.homes.items():
                         busy = 0 if number == 1 else len(entry.running)
-                        entry.monitor.reported_busy = busy
+                        entry.monitor.on_load(busy, len(entry.running))
                 if len(flows) < 10 * anyio.current_time() + 1:
                     flows += open_flows(rig, 1)
                 await anyio.sleep(rng.expovariate(rate_for(rig, 0.7)))
--- a/lab/policyrig.py
+++ b/lab/policyrig.py
@@ -96,6 +96,7 @@
         self.peak = 0
         self.frozen = False
         self.shedding = False
+        self.sheds = 0
         self.dead = False
         self.slow_factor = 1.0
         self.busy_s = 0.0
@@ -129,6 +130,7 @@
         if frame.kind is wire.Kind.CANCEL:
             self.cancel()
         elif self.target.shedding:
+            self.target.sheds += 1
             self.answer(frame, wire.Kind.SHED, reasons.Reason.SHED_BY_TARGET)
         else:
             self.start(frame)
@@ -374,6 +376,7 @@
         self.ended: dict[queueing.Key, Ended] = {}
         self.sent: dict[queueing.Key, tuple[float, int, str]] = {}
         self.tokens: dict[int, bytes] = {}
+        self.answer_tokens: dict[queueing.Key, bytes] = {}
         self.refused_opens: collections.Counter[str] = collections.Counter()
         self.control_messages = 0
         self.control_parts = 0
@@ -585,6 +588,9 @@
         del caller
         if frame.kind is wire.Kind.PENDING or frame.key in self.ended:
             return
+        if frame.key not in self.sent:
+            return
+        self.answer_tokens[frame.key] = frame.token
         sent_at, deadline_ms, tag = self.sent[frame.key]
         self.ended[frame.key] = Ended(
             frame.kind,
