--- a/basilgate/opening.py
+++ b/basilgate/opening.py
@@ -3,13 +3,13 @@
 import collections.abc
 import dataclasses
 import random
-import time
 import typing
 
 import anyio
 from returns import result
 
 from basilgate import (
+    clock,
     effective,
     health,
     homes,
@@ -96,8 +96,11 @@
                 weights[target.domain] = weight + target.weight
         return rendezvous.pick_weighted(frame.flow, weights)
 
-    def owner_in(self, domain: str, flow: int) -> objects.Member | None:
-        """Return the member of a domain that decides on an open."""
+    def owner_in(self, domain: str, flow: int, attempt: int) -> objects.Member | None:
+        """Return the member of a domain that decides on an open.
+
+        Any member of another domain passes an open on to its owner there.
+        """
         if domain == self.members.domain:
             members = self.members.members()
             name = rendezvous.pick(flow, self.members.staying() or members)
@@ -106,7 +109,7 @@
         if not isinstance(view, objects.View):
             return None
         by_host = {member.host: member for member in view.members}
-        name = rendezvous.pick(flow, by_host)
+        name = rendezvous.pick_next(flow, by_host, attempt)
         return by_host[name] if name is not None else None
 
     # The decision.
@@ -136,7 +139,7 @@
             return placement.Candidate(
                 target,
                 len(mine.flows),
-                len(mine.running) + mine.former_slots,
+                mine.slots_in_use(),
                 len(mine.queue),
                 fresh=fresh,
                 utilisation=mine.utilisation(),
@@ -201,7 +204,7 @@
             target.service,
             target.id,
             self.config.domain_numbers.get(target.domain, 0),
-            int(time.time()) + self.token_lifetime_s,
+            int(clock.unix_s()) + self.token_lifetime_s,
         )
         return tokens.mint(self.ring, claims, flow)
 
--- a/basilgate/spill.py
+++ b/basilgate/spill.py
@@ -234,6 +234,8 @@
         """Move a request that has not been forwarded; False keeps it."""
         if not record.idempotent or record.frame is None or record.pass_flags:
             return False
+        if entry.awaiting_from or entry.handed_over_to:
+            return False
         service_s = entry.admission.service_s(record.work_class)
         left_ms = record.deadline_ms - home.now_ms()
         if left_ms < 1000 * service_s + MOVE_MARGIN_MS:
@@ -241,7 +243,7 @@
             return False
         # Beside long work, the last free slot is kept for what cannot move.
         kept = 1 if entry.long_running() else 0
-        busy = len(entry.running) + entry.former_slots + kept
+        busy = entry.slots_in_use() + kept
         own = Load("", busy, entry.target.slots, len(entry.queue))
         if entry.healthy and not own.is_full:
             return False
--- a/lab/policybench.py
+++ b/lab/policybench.py
@@ -102,14 +102,14 @@
     async def generate(rig: policyrig.Rig, rng: random.Random) -> None:
         flows = open_flows(rig, FLOWS)
         rate = rate_for(rig, load)
-        while anyio.current_time() < seconds:
+        while rig.now() < seconds:
             await anyio.sleep(rng.expovariate(rate))
             flow = rng.choice(flows)
             work_s = short_work(rng)
             idempotent = rng.random() < 0.7
             is_straggler = rng.random() < 0.01
             long_s = MEDIAN_S * rng.uniform(20, 100)
-            warm = anyio.current_time() > WARM_UP_S
+            warm = rig.now() > WARM_UP_S
             tag = ("idempotent" if idempotent else "once") if warm else "warm-up"
             short = wire.WorkClass.SHORT if declared else wire.WorkClass.UNDECLARED
             rig.request(flow, work_s, 1.0, idempotent, short, tag=tag)
@@ -191,9 +191,9 @@
     async def generate(rig: policyrig.Rig, rng: random.Random) -> None:
         flows = open_flows(rig, FLOWS)
         rate = rate_for(rig, load)
-        while anyio.current_time() < seconds:
+        while rig.now() < seconds:
             await anyio.sleep(rng.expovariate(rate))
-            warm = anyio.current_time() > WARM_UP_S
+            warm = rig.now() > WARM_UP_S
             rig.request(
                 rng.choice(flows),
                 short_work(rng),
@@ -254,9 +254,9 @@
         weights: list[float] = []
         rate = rate_for(rig, 0.9)
         opened_until = 0.0
-        while anyio.current_time() < seconds:
+        while rig.now() < seconds:
             # Flows come over the first seconds; one in ten is ten times as active.
-            while len(flows) < FLOWS and anyio.current_time() >= opened_until:
+            while len(flows) < FLOWS and rig.now() >= opened_until:
                 opened_until += WARM_UP_S / FLOWS
                 flows += open_flows(rig, 1)
                 weights.append(10.0 if rng.random() < 0.1 else 1.0)
@@ -320,13 +320,13 @@
         async def generate(rig: policyrig.Rig, rng: random.Random) -> None:
             flows: list[int] = []
             report_at = 0.0
-            while anyio.current_time() < 20:
-                if anyio.current_time() >= report_at:
+            while rig.now() < 20:
+                if rig.now() >= report_at:
                     report_at += 3.0
                     for number, entry in rig.homes.items():
                         busy = 0 if number == 1 else len(entry.running)
                         entry.monitor.on_load(busy, len(entry.running))
-                if len(flows) < 10 * anyio.current_time() + 1:
+                if len(flows) < 10 * rig.now() + 1:
                     flows += open_flows(rig, 1)
                 await anyio.sleep(rng.expovariate(rate_for(rig, 0.7)))
                 rig.request(rng.choice(flows), short_work(rng), DEADLINE_S)
@@ -355,7 +355,7 @@
     async def generate(rig: policyrig.Rig, rng: random.Random) -> None:
         flows = open_flows(rig, FLOWS)
         base = rate_for(rig, 0.3)
-        while (now := anyio.current_time()) < CREST_RUN_S:
+        while (now := rig.now()) < CREST_RUN_S:
             factor = 1.0
             if 10 <= now < 12:
                 factor = 1 + 9 * (now - 10) / 2
@@ -439,7 +439,7 @@
     async def generate(rig: policyrig.Rig, rng: random.Random) -> None:
         flows = open_flows(rig, FLOWS)
         rate = rate_for(rig, 2.0)
-        while anyio.current_time() < 10:
+        while rig.now() < 10:
             await anyio.sleep(rng.expovariate(rate))
             number = rng.choices(range(10), [10.0] + [1.0] * 9)[0]
             rig.request(
@@ -477,8 +477,8 @@
         rate = sum(domains.values()) * rate_for(rig, 1.0) / 3
         names, weights = list(domains), list(domains.values())
         opened_at = 0.0
-        while anyio.current_time() < seconds:
-            if anyio.current_time() >= opened_at and opened_at < seconds / 2:
+        while rig.now() < seconds:
+            if rig.now() >= opened_at and opened_at < seconds / 2:
                 # Flows keep coming, so that opens can go elsewhere too.
                 opened_at += seconds / 60
                 for name in names:
@@ -529,9 +529,9 @@
         flows = open_flows(rig, FLOWS)
         rate = rate_for(rig, 0.5)
         crash_at = 3.0
-        while anyio.current_time() < 15:
+        while rig.now() < 15:
             await anyio.sleep(rng.expovariate(rate))
-            if anyio.current_time() >= crash_at:
+            if rig.now() >= crash_at:
                 crash_at += 0.05
                 rig.targets[rng.randint(1, 7)].break_connections()
             rig.request(rng.choice(flows), short_work(rng), DEADLINE_S)
--- a/lab/policyrig.py
+++ b/lab/policyrig.py
@@ -6,7 +6,6 @@
 import contextlib
 import dataclasses
 import random
-import selectors
 import types
 import typing
 import unittest.mock
@@ -16,6 +15,7 @@
 
 from basilgate import (
     admission,
+    clock,
     effective,
     home,
     homes,
@@ -31,9 +31,9 @@
     tokens,
     wire,
 )
+from standins import virtualtime
 
 SERVICE = 1
-EPOCH_MS = 1_800_000_000_000
 REPORT_INTERVAL_S = 0.5
 DOMAIN_INTERVAL_S = 1.0
 UPKEEP_S = 0.25
@@ -41,49 +41,12 @@
 Result = typing.TypeVar("Result")
 
 
-class JumpSelector(selectors.SelectSelector):
-    """Selector that lets the time pass instead of waiting."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 0.0
-
-    def select(self, timeout: float | None = None) -> list[typing.Any]:
-        """Return ready files; without any, jump to the next timer."""
-        ready = super().select(0)
-        if not ready:
-            if timeout is None:
-                raise RuntimeError("all tasks wait, and no timer is set")
-            self.now += timeout
-        return ready
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose clock jumps from timer to timer."""
-
-    def __init__(self) -> None:
-        self.jumps = JumpSelector()
-        super().__init__(self.jumps)
-
-    def time(self) -> float:
-        """Return the virtual time in seconds."""
-        return self.jumps.now
-
-
-def now_ms() -> int:
-    """Return virtual Unix time in milliseconds."""
-    return EPOCH_MS + int(anyio.current_time() * 1000)
-
-
 def run(
     main: collections.abc.Callable[[], collections.abc.Awaitable[Result]],
 ) -> Result:
-    """Run a coroutine function under the virtual clock."""
-    with (
-        unittest.mock.patch.object(home, "now_ms", now_ms),
-        unittest.mock.patch.object(slots, "connect", connect),
-    ):
-        return anyio.run(main, backend_options={"loop_factory": VirtualLoop})
+    """Run a coroutine function under the virtual clock, with fake targets."""
+    with unittest.mock.patch.object(slots, "connect", connect):
+        return virtualtime.run(main)
 
 
 class FakeTarget:
@@ -388,6 +351,7 @@
         self.host_of: dict[int, str] = {}
         self.tasks: anyio.abc.TaskGroup
         self.next_request = 0
+        self.started_at = 0.0
         # Called with each host's loads before they are sent, to falsify them.
         self.falsify: collections.abc.Callable[[list[typing.Any]], None] = lambda _: (
             None
@@ -427,6 +391,10 @@
                 RIGS[address] = self.targets[number]
         return config
 
+    def now(self) -> float:
+        """Return the virtual seconds since the start."""
+        return anyio.current_time() - self.started_at
+
     @property
     def slot_count(self) -> int:
         """Number of slots of all targets."""
@@ -437,6 +405,7 @@
         """Run homes, upkeep, and reports for the duration of a block."""
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            self.started_at = anyio.current_time()
             for domain, targets in self.config.by_domain.items():
                 names = [f"{domain}-{n}" for n in range(self.plan.hosts)]
                 for name in names:
@@ -552,11 +521,11 @@
             self.next_request,
             flags=wire.FLAG_IDEMPOTENT if idempotent else 0,
             work_class=work_class,
-            deadline_ms=now_ms() + int(deadline_s * 1000),
+            deadline_ms=clock.unix_ms() + int(deadline_s * 1000),
             token=self.tokens[flow],
             body=(b"%d " % max(1, int(work_s * 1e6))).ljust(size, b"."),
         )
-        self.sent[frame.key] = (anyio.current_time(), frame.deadline_ms, tag)
+        self.sent[frame.key] = (self.now(), frame.deadline_ms, tag)
         self.deliver(frame, (caller, 1), "")
         return frame.key
 
@@ -596,7 +565,7 @@
             frame.kind,
             reasons.from_code(frame.reason),
             sent_at,
-            anyio.current_time(),
+            self.now(),
             deadline_ms,
             tag,
         )
