--- a/standins/memory.py
+++ b/standins/memory.py
@@ -186,10 +186,10 @@
         if not self.paused and self.network.nodes.get(self.address) is self:
             self.network.outcomes.setdefault(frame.key, []).append(frame)
 
-    async def retry(self, entry: home.Home, record: home.Record) -> bool:
+    async def retry(self, entry: home.Home, record: home.Record) -> reasons.Reason:
         """Leave retries out."""
         del entry, record
-        return False
+        return reasons.Reason.NO_TARGET
 
     async def report(self, entry: home.Home, record: home.Record) -> None:
         """Tell the new home about the end of a request."""
