Order replicas by revision and read sheets in parts

Cause: a relist after 410 kept removed objects, and a peer with an older version could bring back an object whose tombstone had a lower version. Change: objects are ordered by the store's revision, a replica knows the revision up to which it is complete, and parts are read by content address.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -75,7 +75,6 @@
         self.ring = tokens.KeyRing()
         self.store = replica.Replica()
         self.effective = effective.EffectiveConfig()
-        self.parts: list[objects.SheetPart] = []
         self.rng = random.Random(time.time_ns())
         self.callers: datagrams.DatagramSocket
         self.peers: datagrams.DatagramSocket
@@ -130,41 +129,35 @@
             configsync.addresses(config.peers.seeds),
             config.platform.watch_timeout_s,
         )
-        self.store.subscribe(self.on_object)
+        self.store.subscribe_batches(self.on_objects)
         # Monotonic time until which each other domain counts as reachable.
         self.reachable_until: dict[str, float] = {}
 
     # Configuration.
 
-    def on_object(self, stored: objects.StoredObject) -> None:
-        """Bring an applied object into force."""
-        if stored.name.startswith(objects.KEY_PREFIX):
+    def on_objects(self, applied: list[objects.StoredObject]) -> None:
+        """Bring objects that were applied together into force."""
+        names = [stored.name for stored in applied]
+        if any(name.startswith(objects.KEY_PREFIX) for name in names):
             self.load_keys()
-        elif stored.name.startswith(objects.VIEW_PREFIX):
-            return
-        else:
+        others = (objects.KEY_PREFIX, objects.VIEW_PREFIX)
+        if any(not name.startswith(others) for name in names):
             self.load_config()
 
     def load_keys(self) -> None:
         """Take the token keys from the replica."""
-        held = self.store.under(objects.KEY_PREFIX).values()
+        held = self.store.accepted_order(objects.KEY_PREFIX)
         keys = [key for key in held if isinstance(key, objects.Key)]
         for key in keys:
             self.ring.add(key.id, bytes.fromhex(key.secret))
         self.ring.retain({key.id for key in keys})
+        now = datetime.datetime.now(datetime.UTC)
+        self.ring.current = effective.signing_key(keys, now) or 0
 
     def load_config(self) -> None:
         """Merge sheet and overrides; an incomplete sheet changes nothing."""
-        sheet, parts = effective.sheet_parts(self.store)
-        if sheet is not None:
-            self.parts = parts
-        overrides = [
-            value
-            for value in self.store.under(objects.OVERRIDE_PREFIX).values()
-            if isinstance(value, objects.Override)
-        ]
         now = datetime.datetime.now(datetime.UTC)
-        self.effective = effective.merge(self.parts, overrides, now)
+        self.effective = effective.from_replica(self.store, now)
         self.opener.config = self.effective
         self.homes.reassign(self.effective)
 
@@ -428,8 +421,9 @@
         """Note that another domain is reachable, and answer."""
         now = anyio.current_time()
         self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
-        if message.config_digest != self.store.digest:
-            self.sync.behind.add(address)
+        self.sync.on_peer_digest(
+            address, message.config_revision, message.config_digest
+        )
         if message.reply_wanted:
             await self.send_to_peer(self.ping(reply_wanted=False), address)
 
@@ -548,6 +542,7 @@
         while True:
             await anyio.sleep(UPKEEP_S)
             self.opener.forget()
+            self.load_keys()
             expiry = self.effective.next_expiry_s
             if expiry is not None and expiry <= time.time():
                 self.load_config()
--- a/basilgate/configsync.py
+++ b/basilgate/configsync.py
@@ -2,20 +2,45 @@
 
 import collections.abc
 import random
+import time
 
 import anyio
 import logbook
 from returns import result
 
-from basilgate import logs, membership, peering, platformapi, replica, settings
+from basilgate import (
+    logs,
+    membership,
+    metrics,
+    objects,
+    peering,
+    platformapi,
+    replica,
+    settings,
+)
 from peerproto import ttypes
 
 LOGGER = logbook.Logger("configsync")
 
 BACKOFF_FIRST_S = 0.2
 BACKOFF_LIMIT_S = 10.0
-REPAIR_INTERVAL_S = 1.0
-SEED_INTERVAL_S = 1.0
+# Digests are compared at this interval. A difference that the watch is about to
+# settle is left alone for one interval while the platform answers.
+REPAIR_INTERVAL_S = 0.4
+# More missing parts than this are read by one listing instead of one by one.
+PARTS_READ_SINGLY = 4
+
+# What a host lists when it starts; sheet parts are read by name.
+LISTED_PREFIXES = (
+    objects.OVERRIDE_PREFIX,
+    objects.VIEW_PREFIX,
+    objects.KEY_PREFIX,
+)
+
+# Problems that the platform itself reports.
+ANSWERED = (platformapi.ProblemKind.TOO_OLD, platformapi.ProblemKind.NOT_FOUND)
+
+Reading = result.Result[None, platformapi.Problem]
 
 
 class ConfigSync:
@@ -53,8 +78,11 @@
         self.seeds = seeds
         self.wait_s = wait_s
         self.rng = random.Random(members.me.incarnation)
-        # Revision up to which the platform's changes have been seen.
-        self.watched_revision = 0
+        # Whether everything has to be listed before the next watch.
+        self.relist = True
+        # Unix time since which the platform has not answered, None if it does.
+        self.platform_lost_at: float | None = None
+        self.digest_compared = 0
         # Addresses of peers seen with another digest, to sync from.
         self.behind: set[tuple[str, int]] = set()
 
@@ -68,42 +96,145 @@
         """List once, then watch; start over when the platform says so."""
         backoff_s = BACKOFF_FIRST_S
         while True:
-            if self.watched_revision:
-                answer = await self.platform.watch(self.watched_revision, self.wait_s)
-            else:
-                answer = await self.platform.list()
-            if isinstance(answer, result.Success):
-                found = answer.unwrap()
-                for stored in found.objects:
-                    self.store.apply(stored)
-                self.watched_revision = max(self.watched_revision, found.revision)
+            reading = await self.read()
+            if isinstance(reading, result.Success):
+                self.note_platform(answers=True)
                 backoff_s = BACKOFF_FIRST_S
                 continue
-            problem = answer.failure()
-            if problem.kind is platformapi.ProblemKind.TOO_OLD:
-                self.watched_revision = 0
-            logs.event(LOGGER.info, "platform_unread", problem=problem.kind.value)
+            problem = reading.failure()
+            if problem.kind is not platformapi.ProblemKind.OVER_BUDGET:
+                self.note_platform(problem.kind in ANSWERED)
+            logs.event(
+                LOGGER.info,
+                "platform_unread",
+                problem=problem.kind.value,
+                detail=problem.detail,
+            )
             # Full jitter keeps hosts from returning all at once after an outage.
             await anyio.sleep(self.rng.uniform(0, backoff_s))
             backoff_s = min(backoff_s * 2, BACKOFF_LIMIT_S)
 
+    def note_platform(self, answers: bool) -> None:
+        """Note whether the platform answers, and log a change."""
+        if answers != (self.platform_lost_at is None):
+            name = "platform_back" if answers else "platform_lost"
+            logs.event(LOGGER.warning, name, complete=self.store.complete_revision)
+            self.platform_lost_at = None if answers else time.time()
+
+    async def read(self) -> Reading:
+        """Take the next step of following the platform."""
+        if self.relist:
+            return await self.read_all()
+        if self.store.missing_parts():
+            return await self.read_parts()
+        return await self.read_changes()
+
+    async def read_all(self) -> Reading:
+        """List everything except sheet parts, and read the parts that lack.
+
+        The listings are made one after the other. The replica is complete up to
+        the oldest of their revisions; the watch starts there.
+        """
+        slow_s = platformapi.SLOW_ANSWER_S
+        revisions = []
+        for prefix in LISTED_PREFIXES:
+            answer = await self.platform.list(prefix, slow_s)
+            if isinstance(answer, result.Failure):
+                return result.Failure(answer.failure())
+            listing = answer.unwrap()
+            if listing.revision < self.store.complete_revision:
+                return stale(listing.revision, self.store.complete_revision)
+            self.store.apply_listing(prefix, listing.revision, listing.objects)
+            revisions.append(listing.revision)
+        sheet = await self.platform.get(objects.SHEET, slow_s)
+        if isinstance(sheet, result.Success):
+            self.store.apply(sheet.unwrap())
+        elif sheet.failure().kind is not platformapi.ProblemKind.NOT_FOUND:
+            return result.Failure(sheet.failure())
+        self.store.complete(min(revisions))
+        self.relist = False
+        return result.Success(None)
+
+    async def read_parts(self) -> Reading:
+        """Read the parts of the newest manifest that are not held."""
+        missing = self.store.missing_parts()
+        slow_s = platformapi.SLOW_ANSWER_S
+        if len(missing) > PARTS_READ_SINGLY:
+            answer = await self.platform.list(objects.SHEET_PART_PREFIX, slow_s)
+            if isinstance(answer, result.Failure):
+                return result.Failure(answer.failure())
+            self.store.apply_all(answer.unwrap().objects)
+        else:
+            for name in missing:
+                part = await self.platform.get(name, slow_s)
+                if isinstance(part, result.Success):
+                    self.store.apply(part.unwrap())
+                elif part.failure().kind is not platformapi.ProblemKind.NOT_FOUND:
+                    return result.Failure(part.failure())
+        if self.store.missing_parts():
+            # The manifest was replaced meanwhile, or a part is malformed.
+            self.relist = True
+            missing_now = ",".join(self.store.missing_parts()[:3])
+            kind = platformapi.ProblemKind.NOT_FOUND
+            return result.Failure(platformapi.Problem(kind, missing_now))
+        return result.Success(None)
+
+    async def read_changes(self) -> Reading:
+        """Wait for changes and apply them."""
+        since = self.store.complete_revision
+        answer = await self.platform.watch(since, self.wait_s)
+        if isinstance(answer, result.Failure):
+            # After a stalled watch a listing shows what it did not report.
+            self.relist = answer.failure().kind in (
+                platformapi.ProblemKind.TOO_OLD,
+                platformapi.ProblemKind.OUTCOME_UNKNOWN,
+                platformapi.ProblemKind.INVALID,
+            )
+            return result.Failure(answer.failure())
+        listing = answer.unwrap()
+        if listing.revision < since:
+            self.relist = True
+            return stale(listing.revision, since)
+        self.store.apply_all(listing.objects)
+        self.store.complete(listing.revision)
+        return result.Success(None)
+
     async def repair(self) -> None:
         """Take missed objects from peers whose digest differs."""
         while True:
             await anyio.sleep(REPAIR_INTERVAL_S * self.rng.uniform(0.8, 1.2))
-            sources = [
-                peer.address
-                for peer in self.members.peers.values()
-                if peer.config_digest not in (0, self.store.digest)
-                and self.members.is_alive(peer.member.host)
-            ]
-            sources += sorted(self.behind)
-            self.behind.clear()
-            if not self.store.stored:
-                sources += self.seeds
+            sources = self.sources()
             if sources:
                 await self.sync_from(self.rng.choice(sources))
 
+    def sources(self) -> list[tuple[str, int]]:
+        """Return the addresses of peers that may have newer objects."""
+        if not self.store.complete_revision and self.platform_lost_at is not None:
+            known = [peer.address for peer in self.members.peers.values()]
+            return [*known, *self.seeds]
+        settled = self.store.digest == self.digest_compared
+        self.digest_compared = self.store.digest
+        if not settled and self.platform_lost_at is None:
+            return []
+        # A peer with a lower revision is the one that has to ask.
+        found = [
+            peer.address
+            for peer in self.members.peers.values()
+            if peer.config_digest not in (0, self.store.digest)
+            and peer.config_revision >= self.store.revision
+            and self.members.is_alive(peer.member.host)
+        ]
+        found += sorted(self.behind)
+        self.behind.clear()
+        return found
+
+    def on_peer_digest(
+        self, address: tuple[str, int], revision: int, digest: int
+    ) -> None:
+        """Note the configuration of a peer in another failure domain."""
+        if digest != self.store.digest and revision >= self.store.revision:
+            self.behind.add(address)
+
     async def sync_from(self, address: tuple[str, int]) -> bool:
         """Take newer objects from one peer; False if it did not answer."""
         versions = [
@@ -112,16 +243,16 @@
         ]
         request = ttypes.SyncRequest(self.members.me.host, versions)
         answer = await peering.call(self.codec, address, "sync_request", request)
-        if isinstance(answer, result.Failure):
-            return False
-        field, reply = answer.unwrap()
-        if field != "sync_reply":
+        if isinstance(answer, result.Failure) or answer.unwrap()[0] != "sync_reply":
+            metrics.SYNCS.inc({"outcome": "no_reply"})
             return False
-        taken = 0
-        for part in reply.objects:
-            stored = peering.from_thrift(part)
-            if stored is not None:
-                taken += self.store.apply(stored)
+        _, reply = answer.unwrap()
+        received = [peering.from_thrift(part) for part in reply.objects]
+        valid = [stored for stored in received if stored is not None]
+        taken = self.store.apply_all(valid)
+        if len(valid) == len(received):
+            self.store.complete(reply.revision)
+        metrics.SYNCS.inc({"outcome": "taken" if taken else "nothing_new"})
         if taken:
             logs.event(
                 LOGGER.info,
@@ -132,11 +263,19 @@
         return True
 
 
+def stale(revision: int, known: int) -> Reading:
+    """Return the problem of a store that lags behind what is known."""
+    kind = platformapi.ProblemKind.TOO_OLD
+    return result.Failure(
+        platformapi.Problem(kind, f"revision {revision} is older than {known}")
+    )
+
+
 def sync_reply(store: replica.Replica, request: object) -> object:
-    """Return the objects that a peer does not have."""
+    """Return the objects that a peer may lack, and how far they are complete."""
     held = {part.name: part.version for part in getattr(request, "versions", [])}
     newer = [peering.to_thrift(stored) for stored in store.newer_than(held)]
-    return ttypes.SyncReply(newer, store.revision)
+    return ttypes.SyncReply(newer, store.complete_revision)
 
 
 def addresses(seeds: collections.abc.Iterable[str]) -> list[tuple[str, int]]:
--- a/basilgate/effective.py
+++ b/basilgate/effective.py
@@ -6,6 +6,11 @@
 
 from basilgate import objects, replica, settings
 
+# A new token key verifies at once and signs after this time, so that no host gets
+# a token under a key that it does not have: an accepted change is in force
+# everywhere within 15 s.
+KEY_SETTLE = datetime.timedelta(seconds=30)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
@@ -57,26 +62,16 @@
     next_expiry_s: float | None = None
 
 
-def sheet_parts(
-    store: replica.Replica,
-) -> tuple[objects.Sheet | None, list[objects.SheetPart]]:
-    """Return the manifest and its parts; no manifest until all parts are here."""
-    sheet = store.parsed.get(objects.SHEET)
-    if not isinstance(sheet, objects.Sheet):
-        return None, []
-    parts = [store.parsed.get(objects.SHEET_PART_PREFIX + name) for name in sheet.parts]
-    found = [part for part in parts if isinstance(part, objects.SheetPart)]
-    if len(found) != len(parts):
-        return None, []
-    return sheet, found
-
-
 def active_overrides(
     overrides: collections.abc.Iterable[objects.Override], now: datetime.datetime
 ) -> dict[tuple[str, str], objects.Override]:
-    """Return the newest override that has not expired, by service and target."""
+    """Return the newest override that has not expired, by service and target.
+
+    The overrides come in the order in which the platform accepted them, which is
+    the same on every node whatever the operators' clocks say.
+    """
     chosen: dict[tuple[str, str], objects.Override] = {}
-    for override in sorted(overrides, key=lambda o: (o.created_at, o.id)):
+    for override in overrides:
         if override.expires_at is None or override.expires_at > now:
             chosen[(override.service, override.target)] = override
     return chosen
@@ -118,7 +113,17 @@
     overrides: collections.abc.Iterable[objects.Override],
     now: datetime.datetime,
 ) -> EffectiveConfig:
-    """Return the configuration in force, the same on every node."""
+    """Return the configuration in force, the same on every node.
+
+    Parameters
+    ----------
+    parts : iterable of objects.SheetPart
+        Content of the sheet.
+    overrides : iterable of objects.Override
+        All overrides in the order of their acceptance.
+    now : datetime.datetime
+        Time at which overrides are compared with their end.
+    """
     config = EffectiveConfig()
     listed = list(overrides)
     chosen = active_overrides(listed, now)
@@ -155,12 +160,34 @@
     return config
 
 
+def overrides_of(store: replica.Replica) -> list[objects.Override]:
+    """Return the overrides of a replica in the order of their acceptance."""
+    held = store.accepted_order(objects.OVERRIDE_PREFIX)
+    return [value for value in held if isinstance(value, objects.Override)]
+
+
 def from_replica(store: replica.Replica, now: datetime.datetime) -> EffectiveConfig:
     """Return the configuration in force according to a replica."""
-    _, parts = sheet_parts(store)
-    overrides = [
-        value
-        for value in store.under(objects.OVERRIDE_PREFIX).values()
-        if isinstance(value, objects.Override)
+    return merge(store.sheet_parts(), overrides_of(store), now)
+
+
+def signing_key(
+    keys: collections.abc.Sequence[objects.Key], now: datetime.datetime
+) -> int | None:
+    """Return the id of the key that signs new tokens, None without a key.
+
+    Parameters
+    ----------
+    keys : sequence of objects.Key
+        The keys in the order of their acceptance.
+    now : datetime.datetime
+        Current time; a key signs once every host has had time to receive it.
+    """
+    settled = [
+        key
+        for key in keys
+        if key.created_at is None or now - key.created_at >= KEY_SETTLE
     ]
-    return merge(parts, overrides, now)
+    if settled:
+        return settled[-1].id
+    return keys[0].id if keys else None
--- a/basilgate/metrics.py
+++ b/basilgate/metrics.py
@@ -48,3 +48,7 @@
     "reverts_refused_total", "Objects refused because a newer version is held"
 )
 HANDOVERS = counter("handovers_total", "Changes of home, by direction and outcome")
+OBJECTS_REFUSED = counter(
+    "objects_refused_total", "Objects refused as malformed or oversized"
+)
+SYNCS = counter("peer_syncs_total", "Configuration taken from peers, by outcome")
--- a/basilgate/objects.py
+++ b/basilgate/objects.py
@@ -3,6 +3,8 @@
 import collections.abc
 import dataclasses
 import datetime
+import hashlib
+import json
 import typing
 
 import pydantic
@@ -11,6 +13,10 @@
 from basilgate import settings
 
 MAX_OBJECT_BYTES = 1_000_000
+# Bounds on what a balancer takes over, as JSON text. The largest view at the
+# capacity goal has about 16 KB.
+MAX_PART_BYTES = 256_000
+MAX_OTHER_BYTES = 128_000
 
 SHEET = "sheet"
 SHEET_PART_PREFIX = "sheet-part/"
@@ -129,7 +135,9 @@
     """Key of placement tokens, in hexadecimal."""
 
     id: int = pydantic.Field(ge=0, le=255)
-    secret: str = pydantic.Field(pattern=r"^([0-9a-f]{2}){16,64}$")
+    secret: str = pydantic.Field(pattern=r"^([0-9a-f]{2}){16,64}$", repr=False)
+    created_by: str = ""
+    created_at: datetime.datetime | None = None
 
 
 MODELS: tuple[tuple[str, type[Written]], ...] = (
@@ -150,6 +158,37 @@
     value: collections.abc.Mapping[str, typing.Any] | None
 
 
+def canonical(value: collections.abc.Mapping[str, typing.Any]) -> str:
+    """Return an object's content as JSON text, without the operation id."""
+    content = {key: part for key, part in value.items() if key != "operation"}
+    return json.dumps(content, sort_keys=True, separators=(",", ":"))
+
+
+def content_address(value: collections.abc.Mapping[str, typing.Any]) -> str:
+    """Return the name of a sheet part by its content, without the prefix."""
+    return hashlib.sha256(canonical(value).encode()).hexdigest()
+
+
+def is_part(name: str) -> bool:
+    """Tell whether an object is a sheet part, which never changes."""
+    return name.startswith(SHEET_PART_PREFIX)
+
+
+def check_content(
+    name: str, value: collections.abc.Mapping[str, typing.Any]
+) -> str | None:
+    """Return what is wrong with an object's size or content address."""
+    text = canonical(value)
+    bound = MAX_PART_BYTES if is_part(name) else MAX_OTHER_BYTES
+    if len(text) > bound:
+        return f"{name}: {len(text)} bytes, more than {bound}"
+    if is_part(name):
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        if name != SHEET_PART_PREFIX + digest:
+            return f"{name}: content does not match the name"
+    return None
+
+
 def model_for(name: str) -> type[Written] | None:
     """Return the model of the object called `name`, None if it is not ours."""
     if name == SHEET:
@@ -167,6 +206,9 @@
     model = model_for(name)
     if model is None:
         return result.Failure(f"{name}: unknown kind of object")
+    problem_found = check_content(name, value)
+    if problem_found is not None:
+        return result.Failure(problem_found)
     try:
         return result.Success(model.model_validate(value))
     except pydantic.ValidationError as error:
--- a/basilgate/platformapi.py
+++ b/basilgate/platformapi.py
@@ -23,6 +23,10 @@
 # recovering, so a few attempts are made.
 SETTLE_ATTEMPTS = 5
 SETTLE_PAUSE_S = 0.2
+# The platform can take 5 s to answer for long periods. Reads and watches allow
+# that, so that configuration still arrives; a watch that is silent for longer
+# than its waiting time and this slack has stalled.
+SLOW_ANSWER_S = 6.0
 
 
 class ProblemKind(enum.Enum):
@@ -141,24 +145,38 @@
         timeout_s: float | None,
         options: dict[str, typing.Any],
     ) -> result.Result[dict[str, typing.Any], Problem]:
-        """Send one request and classify what comes back."""
-        timeout = httpx.Timeout(self.timeout_s, read=timeout_s or self.timeout_s)
+        """Send one request and classify what comes back.
+
+        The time limit covers the whole exchange: a connection that trickles or
+        never closes does not extend it.
+        """
+        limit_s = timeout_s or self.timeout_s
+        timeout = httpx.Timeout(self.timeout_s, read=limit_s)
         try:
-            response = await self.http.request(method, path, timeout=timeout, **options)
+            with anyio.fail_after(limit_s):
+                response = await self.http.request(
+                    method, path, timeout=timeout, **options
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             return result.Failure(Problem(ProblemKind.UNAVAILABLE, repr(error)))
-        except httpx.HTTPError as error:
+        except (TimeoutError, httpx.HTTPError) as error:
             return result.Failure(Problem(ProblemKind.OUTCOME_UNKNOWN, repr(error)))
         return classify(response)
 
-    async def get(self, name: str) -> result.Result[objects.StoredObject, Problem]:
+    async def get(
+        self, name: str, timeout_s: float | None = None
+    ) -> result.Result[objects.StoredObject, Problem]:
         """Return one object."""
-        answer = await self.call("GET", f"/objects/{name}")
+        answer = await self.call("GET", f"/objects/{name}", timeout_s)
         return answer.bind(checked(stored_object))
 
-    async def list(self, prefix: str = "") -> result.Result[Listing, Problem]:
+    async def list(
+        self, prefix: str = "", timeout_s: float | None = None
+    ) -> result.Result[Listing, Problem]:
         """Return all objects whose names start with `prefix`."""
-        answer = await self.call("GET", "/objects", params={"prefix": prefix})
+        answer = await self.call(
+            "GET", "/objects", timeout_s, params={"prefix": prefix}
+        )
         return answer.bind(checked(listing))
 
     async def put(
@@ -170,8 +188,8 @@
         """Write an object if its version is `expect_version`, 0 to create it.
 
         A write whose answer was lost is settled by reading the object back and
-        comparing the operation id; `OUTCOME_UNKNOWN` remains only if the
-        platform cannot be read.
+        comparing the operation id. `OUTCOME_UNKNOWN` remains if the platform
+        cannot be read, or if what it holds does not tell.
         """
         written = dict(value)
         written["operation"] = written.get("operation") or uuid.uuid4().hex
@@ -179,8 +197,9 @@
         if len(json.dumps(body)) > objects.MAX_OBJECT_BYTES:
             return result.Failure(Problem(ProblemKind.TOO_LARGE, name))
         answer = await self.call("PUT", f"/objects/{name}", json=body)
-        if not lost(answer):
-            return answer.bind(checked(stored_object))
+        stored = answer.bind(checked(stored_object))
+        if not lost(stored):
+            return stored
         return await self.settle(name, written, expect_version)
 
     async def settle(
@@ -189,46 +208,68 @@
         written: collections.abc.Mapping[str, typing.Any],
         expect_version: int,
     ) -> result.Result[objects.StoredObject, Problem]:
-        """Find out whether a write whose answer was lost took effect."""
+        """Find out whether a write whose answer was lost took effect.
+
+        A conditional write on a version above 0 is repeated: versions only rise,
+        so at most one copy takes effect. Creating an object is never repeated,
+        because the first copy may have taken effect and a colleague may have
+        removed the object since; the second copy would bring it back.
+        """
+        body = {"value": dict(written), "expect_version": expect_version}
         for attempt in range(SETTLE_ATTEMPTS):
             await anyio.sleep(SETTLE_PAUSE_S * attempt)
             found = await self.get(name)
             if isinstance(found, result.Success):
                 stored = found.unwrap()
-                if (
-                    stored.value
-                    and stored.value.get("operation") == written["operation"]
-                ):
+                if operation_of(stored) == written["operation"]:
                     logs.event(LOGGER.info, "write_settled", object=name, accepted=True)
                     return found
-                if stored.version != expect_version:
+                if stored.version == expect_version + 1 and expect_version > 0:
+                    # Another write took the version that this one would have got.
                     problem = Problem(ProblemKind.CONFLICT, name, stored.version)
                     return result.Failure(problem)
+                if stored.version > expect_version:
+                    # This write may have been accepted and replaced since.
+                    break
+                if stored.version < expect_version:
+                    # A replica that lags behind tells nothing.
+                    continue
             elif found.failure().kind is not ProblemKind.NOT_FOUND:
                 continue
-            # Not written so far. The conditional write is repeated: at most one
-            # of the two copies can take effect.
-            body = {"value": dict(written), "expect_version": expect_version}
+            if expect_version == 0:
+                continue
             answer = await self.call("PUT", f"/objects/{name}", json=body)
-            if not lost(answer) and not conflicted(answer):
-                return answer.bind(checked(stored_object))
+            repeated = answer.bind(checked(stored_object))
+            if not lost(repeated) and not conflicted(repeated):
+                return repeated
         return result.Failure(Problem(ProblemKind.OUTCOME_UNKNOWN, name))
 
     async def delete(
         self, name: str, version: int
     ) -> result.Result[objects.StoredObject, Problem]:
-        """Remove an object if its version is `version`."""
+        """Remove an object if its version is `version`.
+
+        A lost answer is settled by reading back; the removal is conditional on
+        the version, so repeating it cannot remove a later object.
+        """
         path = f"/objects/{name}"
-        answer = await self.call("DELETE", path, params={"version": version})
-        if lost(answer):
-            found = await self.get(name)
-            if (
-                isinstance(found, result.Failure)
-                and found.failure().kind is ProblemKind.NOT_FOUND
-            ):
-                removed = objects.StoredObject(name, version + 1, 0, None)
-                return result.Success(removed)
-        return answer.bind(checked(stored_object))
+        for attempt in range(SETTLE_ATTEMPTS):
+            await anyio.sleep(SETTLE_PAUSE_S * attempt)
+            answer = await self.call("DELETE", path, params={"version": version})
+            removed = answer.bind(checked(stored_object))
+            if not lost(removed):
+                gone = (
+                    attempt > 0
+                    and isinstance(removed, result.Failure)
+                    and removed.failure().kind is ProblemKind.NOT_FOUND
+                )
+                if gone:
+                    tombstone = removed.failure().version or version + 1
+                    return result.Success(
+                        objects.StoredObject(name, tombstone, 0, None)
+                    )
+                return removed
+        return result.Failure(Problem(ProblemKind.OUTCOME_UNKNOWN, name))
 
     async def watch(self, since: int, wait_s: float) -> result.Result[Listing, Problem]:
         """Wait for changes after revision `since`, up to `wait_s` seconds.
@@ -238,17 +279,22 @@
         answer = await self.call(
             "GET",
             "/watch",
-            timeout_s=wait_s + self.timeout_s,
+            timeout_s=wait_s + SLOW_ANSWER_S,
             params={"since": since, "timeout": wait_s},
         )
         return answer.bind(checked(listing))
 
 
+def operation_of(stored: objects.StoredObject) -> str | None:
+    """Return the id of the operation that wrote an object."""
+    return stored.value.get("operation") if stored.value else None
+
+
 def lost(answer: result.Result[typing.Any, Problem]) -> bool:
-    """Tell whether a write may have taken effect without an answer."""
-    return (
-        isinstance(answer, result.Failure)
-        and answer.failure().kind is ProblemKind.OUTCOME_UNKNOWN
+    """Tell whether a write may have taken effect without a usable answer."""
+    return isinstance(answer, result.Failure) and answer.failure().kind in (
+        ProblemKind.OUTCOME_UNKNOWN,
+        ProblemKind.INVALID,
     )
 
 
--- a/basilgate/replica.py
+++ b/basilgate/replica.py
@@ -11,7 +11,13 @@
 
 LOGGER = logbook.Logger("replica")
 
+DIGEST_MASK = (1 << 63) - 1
+# Tombstones beyond this number are dropped, oldest first, where the revision up
+# to which the replica is complete makes them superfluous.
+MAX_TOMBSTONES = 1_000
+
 Callback = collections.abc.Callable[[objects.StoredObject], None]
+BatchCallback = collections.abc.Callable[[list[objects.StoredObject]], None]
 
 
 def fingerprint(name: str, version: int) -> int:
@@ -23,75 +29,290 @@
 class Replica:
     """Newest known version of each object.
 
-    Removed objects stay as tombstones, so that a peer with an older version
-    cannot bring them back.
+    An object is ordered by the store's revision at which it was written. Removed
+    objects stay as tombstones, so that a peer with an older version cannot bring
+    them back. A sheet is in force once all its parts are here; until then the
+    former sheet and its parts are kept.
 
     Attributes
     ----------
     revision : int
         Highest revision of the platform's store among the applied objects.
+    complete_revision : int
+        Revision up to which every change is known: an object that was written up
+        to it and is not held has been removed since.
     digest : int
-        Sum of the fingerprints of all objects, equal on equal replicas.
+        Sum of the fingerprints of the objects in force, without sheet parts;
+        equal on hosts that have the same configuration in force.
+    sheet : objects.Sheet or None
+        Manifest of the sheet in force.
+    sheet_version : int
+        Version of the object that holds it.
     """
 
     stored: dict[str, objects.StoredObject] = dataclasses.field(default_factory=dict)
     parsed: dict[str, objects.Written] = dataclasses.field(default_factory=dict)
+    # Newest version of each object that was refused as malformed.
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
     revision: int = 0
+    complete_revision: int = 0
     digest: int = 0
+    sheet: objects.Sheet | None = None
+    sheet_version: int = 0
+    tombstones: int = 0
     callbacks: list[Callback] = dataclasses.field(default_factory=list)
+    batch_callbacks: list[BatchCallback] = dataclasses.field(default_factory=list)
 
     def subscribe(self, callback: Callback) -> None:
         """Call `callback` with each object that is applied."""
         self.callbacks.append(callback)
 
+    def subscribe_batches(self, callback: BatchCallback) -> None:
+        """Call `callback` once for all objects that are applied together."""
+        self.batch_callbacks.append(callback)
+
+    # Changes.
+
     def apply(self, stored: objects.StoredObject) -> bool:
         """Take an object over if it is newer than the held one and valid."""
+        return self.apply_all([stored]) > 0
+
+    def apply_all(self, batch: collections.abc.Iterable[objects.StoredObject]) -> int:
+        """Take over the objects that are newer and valid; return their number."""
+        changed = [stored for stored in batch if self.take(stored)]
+        if not changed:
+            return 0
+        self.flip_sheet()
+        self.drop_superfluous()
+        metrics.CONFIG_REVISION.set({}, self.revision)
+        for stored in changed:
+            for callback in self.callbacks:
+                callback(stored)
+        for batch_callback in self.batch_callbacks:
+            batch_callback(changed)
+        return len(changed)
+
+    def apply_listing(
+        self,
+        prefix: str,
+        revision: int,
+        listed: collections.abc.Iterable[objects.StoredObject],
+    ) -> int:
+        """Take over everything under a prefix; what is not listed was removed.
+
+        A held object that was written after the listing's revision stays: the
+        listing came from a store that lags behind.
+        """
+        found = {stored.name: stored for stored in listed}
+        gone = [
+            objects.StoredObject(name, held.version + 1, revision, None)
+            for name, held in self.stored.items()
+            if name.startswith(prefix)
+            and held.value is not None
+            and name not in found
+            and held.revision < revision
+        ]
+        return self.apply_all([*found.values(), *gone])
+
+    def complete(self, revision: int) -> None:
+        """Note that every change up to `revision` has been applied."""
+        self.complete_revision = max(self.complete_revision, revision)
+
+    def is_stale(self, stored: objects.StoredObject) -> bool:
+        """Tell whether an object is not newer than what is known; count reverts."""
         held = self.stored.get(stored.name)
-        held_version = held.version if held is not None else 0
-        if stored.version <= held_version:
-            if stored.version < held_version:
-                metrics.REVERTS_REFUSED.inc({})
-            return False
-        if stored.value is None:
-            self.parsed.pop(stored.name, None)
+        if held is None:
+            stale = (
+                stored.revision <= self.complete_revision
+                and stored.name not in self.refused
+            )
+            reverting = stale and stored.value is not None
         else:
+            stale = (stored.revision, stored.version) <= (held.revision, held.version)
+            differs = stored.version != held.version
+            reverting = stale and differs and bool(stored.value or held.value)
+        if reverting:
+            metrics.REVERTS_REFUSED.inc({})
+        return stale
+
+    def take(self, stored: objects.StoredObject) -> bool:
+        """Store one object without telling anybody."""
+        held = self.stored.get(stored.name)
+        if objects.is_part(stored.name):
+            # A part never changes. The manifest decides how long it is kept.
+            if stored.value is None or held is not None:
+                return False
+        elif self.is_stale(stored):
+            return False
+        if stored.value is not None:
             parsed = objects.parse(stored.name, stored.value)
             if isinstance(parsed, result.Failure):
-                logs.event(
-                    LOGGER.warning,
-                    "object_refused",
-                    object=stored.name,
-                    version=stored.version,
-                    problem=parsed.failure(),
-                )
+                self.refuse(stored, parsed.failure())
                 return False
             self.parsed[stored.name] = parsed.unwrap()
-        if held is not None:
-            self.digest -= fingerprint(stored.name, held_version)
-        self.digest = (self.digest + fingerprint(stored.name, stored.version)) & (
-            (1 << 63) - 1
-        )
+        else:
+            self.parsed.pop(stored.name, None)
+        self.refused.pop(stored.name, None)
+        self.count(held, -1)
+        self.count(stored, 1)
         self.stored[stored.name] = stored
-        self.revision = max(self.revision, stored.revision)
-        metrics.CONFIG_REVISION.set({}, self.revision)
-        for callback in self.callbacks:
-            callback(stored)
+        if not objects.is_part(stored.name):
+            self.revision = max(self.revision, stored.revision)
         return True
 
+    def count(self, stored: objects.StoredObject | None, sign: int) -> None:
+        """Add one object to the digest, or take it out."""
+        if stored is None:
+            return
+        if stored.value is None:
+            self.tombstones += sign
+        elif stored.name != objects.SHEET and not objects.is_part(stored.name):
+            self.add_digest(sign * fingerprint(stored.name, stored.version))
+
+    def add_digest(self, value: int) -> None:
+        """Add a fingerprint to the digest."""
+        self.digest = (self.digest + value) & DIGEST_MASK
+
+    def refuse(self, stored: objects.StoredObject, problem: str) -> None:
+        """Log a malformed object once for each version."""
+        if self.refused.get(stored.name, 0) >= stored.version:
+            return
+        self.refused[stored.name] = stored.version
+        metrics.OBJECTS_REFUSED.inc({})
+        logs.event(
+            LOGGER.warning,
+            "object_refused",
+            object=stored.name,
+            version=stored.version,
+            problem=problem,
+        )
+
+    # The sheet.
+
+    def missing_parts(self) -> list[str]:
+        """Return the names of parts that the newest manifest needs."""
+        newest = self.parsed.get(objects.SHEET)
+        if not isinstance(newest, objects.Sheet):
+            return []
+        names = [objects.SHEET_PART_PREFIX + part for part in newest.parts]
+        return [name for name in names if name not in self.parsed]
+
+    def flip_sheet(self) -> None:
+        """Bring the newest manifest into force if all its parts are here."""
+        manifest = self.stored.get(objects.SHEET)
+        newest = self.parsed.get(objects.SHEET)
+        # No command removes the sheet; without a manifest the last one stays.
+        if manifest is None or not isinstance(newest, objects.Sheet):
+            return
+        if manifest.version == self.sheet_version or self.missing_parts():
+            return
+        if self.sheet_version:
+            self.add_digest(-fingerprint(objects.SHEET, self.sheet_version))
+        self.add_digest(fingerprint(objects.SHEET, manifest.version))
+        self.sheet = newest
+        self.sheet_version = manifest.version
+
+    def sheet_parts(self) -> list[objects.SheetPart]:
+        """Return the parts of the sheet in force, in the manifest's order."""
+        names = self.sheet.parts if self.sheet is not None else ()
+        found = [self.parsed.get(objects.SHEET_PART_PREFIX + name) for name in names]
+        return [part for part in found if isinstance(part, objects.SheetPart)]
+
+    def named_parts(self) -> set[str]:
+        """Return the names of parts of the sheet in force and of the newest."""
+        manifests = [self.sheet, self.parsed.get(objects.SHEET)]
+        return {
+            objects.SHEET_PART_PREFIX + part
+            for manifest in manifests
+            if isinstance(manifest, objects.Sheet)
+            for part in manifest.parts
+        }
+
+    def drop_superfluous(self) -> None:
+        """Drop parts that no manifest names, and tombstones beyond the bound."""
+        manifest = self.stored.get(objects.SHEET)
+        written = manifest.revision if manifest is not None else 0
+        named = self.named_parts()
+        unnamed = [
+            name
+            for name, stored in self.stored.items()
+            if objects.is_part(name) and name not in named and stored.revision < written
+        ]
+        for name in unnamed:
+            # Parts written after the manifest may belong to the next one.
+            del self.stored[name]
+            self.parsed.pop(name, None)
+        if self.tombstones <= MAX_TOMBSTONES:
+            return
+        removed = sorted(
+            (stored.revision, name)
+            for name, stored in self.stored.items()
+            if stored.value is None and stored.revision <= self.complete_revision
+        )
+        for _, name in removed[: self.tombstones - MAX_TOMBSTONES // 2]:
+            self.count(self.stored.pop(name), -1)
+
+    # Exchange with peers.
+
     def versions(self) -> dict[str, int]:
         """Return the version of each object, tombstones included."""
         return {name: stored.version for name, stored in self.stored.items()}
 
+    def live_versions(self) -> dict[str, int]:
+        """Return the version in force of each object, without sheet parts."""
+        found = {
+            name: stored.version
+            for name, stored in self.stored.items()
+            if stored.value is not None
+            and name != objects.SHEET
+            and not objects.is_part(name)
+        }
+        if self.sheet_version:
+            found[objects.SHEET] = self.sheet_version
+        return found
+
     def newer_than(
         self, versions: collections.abc.Mapping[str, int]
     ) -> list[objects.StoredObject]:
-        """Return the objects that a replica with `versions` does not have."""
-        return [
+        """Return what a replica with `versions` may lack; it takes what is newer.
+
+        Names that are not known here come back as removed at the revision up to
+        which this replica is complete.
+        """
+        named = self.named_parts()
+        newer = [
             stored
             for name, stored in self.stored.items()
-            if stored.version > versions.get(name, 0)
+            if is_newer(stored, versions.get(name, 0))
+            and (name in named or not objects.is_part(name))
+        ]
+        unknown = [
+            objects.StoredObject(name, version + 1, self.complete_revision, None)
+            for name, version in versions.items()
+            if name not in self.stored
+            and name not in self.refused
+            and not objects.is_part(name)
         ]
+        return newer + (unknown if self.complete_revision else [])
 
     def under(self, prefix: str) -> dict[str, objects.Written]:
         """Return the objects whose names start with `prefix`."""
         return {n: value for n, value in self.parsed.items() if n.startswith(prefix)}
+
+    def accepted_order(self, prefix: str) -> list[objects.Written]:
+        """Return the objects under `prefix` in the order of their acceptance."""
+        names = sorted(
+            self.under(prefix), key=lambda name: (self.stored[name].revision, name)
+        )
+        return [self.parsed[name] for name in names]
+
+
+def is_newer(stored: objects.StoredObject, version: int) -> bool:
+    """Tell whether a replica that holds `version` may need an object.
+
+    The version of a tombstone can be lower than that of an object that was
+    created again and removed again while this host missed the history.
+    """
+    if stored.value is None:
+        return version not in (0, stored.version)
+    return stored.version > version
--- a/basilgate/settings.py
+++ b/basilgate/settings.py
@@ -59,10 +59,12 @@
     """``[platform]``: the object API."""
 
     url: pydantic.HttpUrl
-    # Calls a second that this host may make, a waiting watch counted once.
+    # Calls a second that this host may make, a waiting watch counted once. A watch
+    # that stalls is noticed 6 s after its waiting time, within the 15 s in which an
+    # accepted change has to be in force.
     call_budget: float = pydantic.Field(default=2.0, gt=0)
     timeout_s: float = pydantic.Field(default=2.0, gt=0)
-    watch_timeout_s: float = pydantic.Field(default=30.0, gt=0)
+    watch_timeout_s: float = pydantic.Field(default=8.0, gt=0)
 
 
 class PeersSection(Section):
--- a/lab/cluster.py
+++ b/lab/cluster.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import hashlib
 import json
 import os
 import pathlib
@@ -233,7 +232,7 @@
         """Write the token key and the sheet."""
         await self.write("key/1", {"id": 1, "secret": "17" * 32})
         part = self.sheet_part()
-        digest = hashlib.sha256(json.dumps(part).encode()).hexdigest()
+        digest = objects.content_address(part)
         await self.write(objects.SHEET_PART_PREFIX + digest, part)
         manifest = objects.Sheet(
             date="2026-12-04",
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,6 +19,8 @@
 
 MAX_WATCH_S = 60.0
 HISTORY_LENGTH = 10_000
+# Longer than any time limit of a client.
+STALL_S = 600.0
 
 Json = dict[str, typing.Any]
 
@@ -27,16 +29,32 @@
 class Faults:
     """What goes wrong.
 
-    `down` refuses every call, `delay_s` delays each answer, `lose_answers`
-    drops the answers of that many writes after they took effect, `stall_watches`
-    never answers watches, `cut_hosts` are IP prefixes that are refused.
+    Attributes
+    ----------
+    down : bool
+        Every call is refused.
+    delay_s, answer_delay_s : float
+        Delay before a call takes effect, and between effect and answer.
+    lose_answers, lose_writes : int
+        This many writes get no answer, after they took effect or without effect.
+    stall_watches : bool
+        Watches are never answered and never closed.
+    stale_revision : int
+        Reads and watches show the store as of this revision; 0 shows the newest.
+    flap_calls : int
+        Of each two groups of this many calls, the second is refused.
+    cut_hosts : list of str
+        IP prefixes that are refused; their waiting watches get no answer.
     """
 
     down: bool = False
     delay_s: float = 0.0
+    answer_delay_s: float = 0.0
     lose_answers: int = 0
+    lose_writes: int = 0
     stall_watches: bool = False
     stale_revision: int = 0
+    flap_calls: int = 0
     cut_hosts: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -74,6 +92,14 @@
         newest = {s.name: s for s in self.history if s.revision > revision}
         return list(newest.values())
 
+    def as_of(self, revision: int) -> "Store":
+        """Return the store at an earlier revision, as a lagging replica has it."""
+        earlier = Store()
+        earlier.history = [s for s in self.history if s.revision <= revision]
+        earlier.objects = {s.name: s for s in earlier.history}
+        earlier.revision = min(revision, self.revision)
+        return earlier
+
 
 class Platform:
     """HTTP interface of the store, with call counts and faults."""
@@ -83,29 +109,46 @@
         self.faults = Faults()
         self.calls: dict[str, int] = {}
         self.hosts: list[Json] = []
+        self.call_number = 0
+
+    def readable(self) -> Store:
+        """Return the store that reads see."""
+        if self.faults.stale_revision:
+            return self.store.as_of(self.faults.stale_revision)
+        return self.store
+
+    def is_cut(self, peer: str) -> bool:
+        """Tell whether a call from this address gets no service."""
+        cut = any(peer.startswith(prefix) for prefix in self.faults.cut_hosts)
+        return self.faults.down or cut
 
     async def objects_list(self, request: starlette.requests.Request) -> typing.Any:
         """Answer ``GET /objects?prefix=``."""
         prefix = request.query_params.get("prefix", "")
+        store = self.readable()
         found = [
             dataclasses.asdict(stored)
-            for name, stored in sorted(self.store.objects.items())
+            for name, stored in sorted(store.objects.items())
             if name.startswith(prefix) and stored.value is not None
         ]
-        return answer({"revision": self.store.revision, "objects": found})
+        return answer({"revision": store.revision, "objects": found})
 
     async def object_call(self, request: starlette.requests.Request) -> typing.Any:
         """Answer GET, PUT, and DELETE of ``/objects/{name}``."""
         name = request.path_params["name"]
         if request.method == "GET":
-            held = self.store.objects.get(name)
+            held = self.readable().objects.get(name)
             if held is None or held.value is None:
                 return answer({"version": held.version if held else 0}, 404)
             return answer(dataclasses.asdict(held))
+        if self.faults.lose_writes > 0:
+            self.faults.lose_writes -= 1
+            return answer({}, 504)
         if request.method == "DELETE":
             expected = int(request.query_params.get("version", "0"))
             if self.store.version(name) == 0:
-                return answer({"version": 0}, 404)
+                removed = self.store.objects.get(name)
+                return answer({"version": removed.version if removed else 0}, 404)
             value = None
         else:
             raw = await request.body()
@@ -125,14 +168,17 @@
         """Answer ``GET /watch?since=&timeout=``."""
         since = int(request.query_params.get("since", "0"))
         wait_s = min(float(request.query_params.get("timeout", "30")), MAX_WATCH_S)
-        oldest = self.store.history[0].revision if self.store.history else 1
-        if since < oldest - 1 or since > self.store.revision:
-            return answer({"revision": self.store.revision}, 410)
+        store = self.readable()
+        oldest = store.history[0].revision if store.history else 1
+        if since < oldest - 1 or since > store.revision:
+            return answer({"revision": store.revision}, 410)
         with anyio.move_on_after(wait_s):
-            while self.store.revision <= since or self.faults.stall_watches:
-                await self.store.changed.wait()
-        found = [dataclasses.asdict(stored) for stored in self.store.since(since)]
-        return answer({"revision": self.store.revision, "objects": found})
+            while store.revision <= since:
+                await store.changed.wait()
+        if self.faults.stall_watches:
+            await anyio.sleep(STALL_S)
+        found = [dataclasses.asdict(stored) for stored in store.since(since)]
+        return answer({"revision": store.revision, "objects": found})
 
     async def set_faults(self, request: starlette.requests.Request) -> typing.Any:
         """Answer ``POST /faults`` with the fields of `Faults`."""
@@ -159,12 +205,18 @@
             label = f"{request.method} {name}"
             self.calls[label] = self.calls.get(label, 0) + 1
             self.calls[f"from {peer}"] = self.calls.get(f"from {peer}", 0) + 1
-            cut = any(peer.startswith(prefix) for prefix in self.faults.cut_hosts)
-            if self.faults.down or cut:
+            self.call_number += 1
+            flap = self.faults.flap_calls
+            if self.is_cut(peer) or (flap and self.call_number // flap % 2):
                 return answer({}, 503)
             if self.faults.delay_s:
                 await anyio.sleep(self.faults.delay_s)
-            return await serve(request)
+            response = await serve(request)
+            if self.faults.answer_delay_s:
+                await anyio.sleep(self.faults.answer_delay_s)
+            if self.is_cut(peer):
+                return answer({}, 504)
+            return response
 
         return endpoint
 
