Add operators' commands and queries

Cause: sheets, overrides, and keys could only be written by hand. Change: commands and queries with exit codes, explanations, and the state of each host by digest; a thin command line over both.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -22,6 +22,7 @@
     datagrams,
     effective,
     errors,
+    explaining,
     home,
     homes,
     logs,
@@ -497,9 +498,29 @@
 
     # Queries.
 
+    def observer(self) -> explaining.Observer:
+        """Return what queries look at."""
+        return explaining.Observer(
+            self.store, self.effective, self.members, self.homes.homes
+        )
+
+    def explain(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
+        """Return why a target gets or does not get new flows."""
+        return explaining.explain(
+            self.observer(),
+            parameters.get("service", ""),
+            parameters.get("target", ""),
+            datetime.datetime.now(datetime.UTC),
+        )
+
     def status(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
-        """Return what this host knows of itself and its domain."""
-        del parameters
+        """Return what this host knows of itself and its domain.
+
+        ``objects`` is a comma-separated list of objects whose versions in force
+        are wanted.
+        """
+        wanted = [name for name in parameters.get("objects", "").split(",") if name]
+        observer = self.observer()
         view = self.members.view
         return {
             "host": self.members.me.host,
@@ -510,6 +531,10 @@
             "leaving": self.members.leaving,
             "revision": self.store.revision,
             "digest": self.store.digest,
+            "configuration": explaining.configuration(observer, wanted),
+            "platform_lost_at": self.sync.platform_lost_at,
+            "targets": explaining.notable_targets(observer),
+            "directory": explaining.directory(self.store),
             "members": [m.host for m in view.members] if view is not None else [],
             "peers": {
                 name: {
@@ -556,7 +581,9 @@
         calls = await anyio.create_tcp_listener(
             local_host=calls_address[0], local_port=calls_address[1]
         )
-        application = admin.application({"status": self.status}, lambda: True)
+        application = admin.application(
+            {"status": self.status, "explain": self.explain}, lambda: True
+        )
         async with self.platform, anyio.create_task_group() as tasks:
             self.homes.tasks = tasks
             tasks.start_soon(self.serve_callers)
--- /dev/null
+++ b/basilgate/commands.py
@@ -0,0 +1,428 @@
+"""Operators' commands: each changes something on the platform."""
+
+import collections.abc
+import datetime
+import secrets
+import uuid
+
+import anyio
+import xxhash
+from returns import result
+
+from basilgate import (
+    explaining,
+    objects,
+    outcomes,
+    platformapi,
+    queries,
+    sheet,
+)
+
+PART_ATTEMPTS = 4
+PART_WRITERS = 8
+# Expired overrides are removed by later commands once no host with a clock that
+# is behind can still count them as active.
+EXPIRED_KEPT = datetime.timedelta(hours=1)
+EXPIRED_REMOVED_AT_ONCE = 10
+KEY_BYTES = 32
+KEY_IDS = 256
+# Hosts sign with the former key for a while after a rotation.
+ROTATION_MARGIN_S = 600.0
+
+
+def now_utc() -> datetime.datetime:
+    """Return the current time."""
+    return datetime.datetime.now(datetime.UTC)
+
+
+async def with_force(
+    session: queries.Session,
+    outcome: outcomes.Outcome,
+    wanted: collections.abc.Mapping[str, int],
+    wait_s: float,
+) -> outcomes.Outcome:
+    """Add where an accepted change is in force, if the operator waits for it."""
+    if wait_s <= 0:
+        outcome.lines.append("not checked on the hosts; use --wait or `status`")
+        return outcome
+    force = await queries.in_force(session, wanted, wait_s)
+    outcome.exit = force.exit
+    outcome.lines += force.lines
+    outcome.data["in_force"] = force.data
+    return outcome
+
+
+# The sheet.
+
+
+async def write_part(
+    platform: platformapi.PlatformClient, name: str, part: sheet.Part, version: int
+) -> result.Result[None, platformapi.Problem]:
+    """Write a part, or write it again if it is left from an earlier sheet.
+
+    Writing it again raises its version, so that a colleague's clean-up, which
+    names the version it has seen, does not remove it. The content is the same for
+    every writer, so repeating the write undoes nothing.
+    """
+    problem = platformapi.Problem(platformapi.ProblemKind.OUTCOME_UNKNOWN, name)
+    for _ in range(PART_ATTEMPTS):
+        answer = await platform.put(name, part, version)
+        if isinstance(answer, result.Success):
+            return result.Success(None)
+        problem = answer.failure()
+        if problem.kind is platformapi.ProblemKind.CONFLICT:
+            if problem.version > version:
+                # A colleague has written it since; the content is the same.
+                return result.Success(None)
+            version = problem.version
+        elif problem.kind is not platformapi.ProblemKind.OUTCOME_UNKNOWN:
+            break
+    return result.Failure(problem)
+
+
+async def write_parts(
+    platform: platformapi.PlatformClient,
+    held: queries.HeldSheet,
+    parts: collections.abc.Mapping[str, sheet.Part],
+) -> platformapi.Problem | None:
+    """Write the parts that the sheet in force does not have."""
+    kept = set(held.manifest.parts) if held.manifest is not None else set()
+    problems: list[platformapi.Problem] = []
+    limiter = anyio.CapacityLimiter(PART_WRITERS)
+
+    async def write(name: str, part: sheet.Part) -> None:
+        known = held.parts.get(name)
+        version = known.version if known is not None else 0
+        async with limiter:
+            answer = await write_part(platform, name, part, version)
+        if isinstance(answer, result.Failure):
+            problems.append(answer.failure())
+
+    async with anyio.create_task_group() as tasks:
+        for digest, part in parts.items():
+            name = objects.SHEET_PART_PREFIX + digest
+            if digest not in kept or name not in held.parts:
+                tasks.start_soon(write, name, part)
+    return problems[0] if problems else None
+
+
+async def clean_up(
+    platform: platformapi.PlatformClient, held: queries.HeldSheet
+) -> int:
+    """Remove the parts that were left by sheets before the one in force.
+
+    A part of a sheet that a colleague is about to apply was written after the
+    manifest in force, and a conditional removal of an older version fails.
+    """
+    if held.manifest is None:
+        return 0
+    named = {objects.SHEET_PART_PREFIX + part for part in held.manifest.parts}
+    removed = 0
+    for name, stored in sorted(held.parts.items()):
+        if name not in named and stored.revision < held.revision:
+            answer = await platform.delete(name, stored.version)
+            removed += isinstance(answer, result.Success)
+    return removed
+
+
+async def apply_sheet(
+    session: queries.Session,
+    text: str,
+    planned_version: int,
+    operator: str,
+    wait_s: float = 0.0,
+) -> outcomes.Outcome:
+    """Bring a sheet into force if the sheet has the version that was planned.
+
+    Parameters
+    ----------
+    planned_version : int
+        Version that ``sheet plan`` printed; 0 if there is no sheet.
+    wait_s : float
+        Seconds to wait until the sheet is in force on all hosts.
+    """
+    parsed = sheet.parse(text)
+    if isinstance(parsed, result.Failure):
+        return queries.invalid(parsed.failure())
+    content = parsed.unwrap()
+    read = await queries.held_sheet(session.platform)
+    if isinstance(read, result.Failure):
+        return outcomes.not_read(read.failure(), "the sheet")
+    held = read.unwrap()
+    if held.version != planned_version:
+        return sheet_conflict(held, planned_version)
+    overrides = await queries.held_overrides(session.platform, now_utc())
+    if isinstance(overrides, result.Failure):
+        return outcomes.not_read(overrides.failure(), "the overrides")
+    removed = await clean_up(session.platform, held)
+    parts = sheet.divide(content)
+    problem = await write_parts(session.platform, held, parts)
+    if problem is not None:
+        # Without its manifest a part changes nothing, so this is no acceptance.
+        return outcomes.not_read(problem, "back a part of the sheet")
+    manifest = objects.Sheet(
+        operation=uuid.uuid4().hex,
+        date=content.date or now_utc().date(),
+        planner=content.planner,
+        applied_by=operator,
+        applied_at=now_utc(),
+        parts=tuple(parts),
+    )
+    written = await session.platform.put(
+        objects.SHEET, manifest.model_dump(mode="json"), planned_version
+    )
+    if isinstance(written, result.Failure):
+        return outcomes.not_written(written.failure(), "the sheet")
+    version = written.unwrap().version
+    outcome = queries.describe_plan(held, content, overrides.unwrap())
+    outcome.lines[0] = f"accepted: sheet version {version} for {manifest.date}"
+    outcome.data |= {
+        "version": version,
+        "parts": len(parts),
+        "parts_removed": removed,
+    }
+    return await with_force(session, outcome, {objects.SHEET: version}, wait_s)
+
+
+def sheet_conflict(held: queries.HeldSheet, planned: int) -> outcomes.Outcome:
+    """Return the outcome of an apply whose plan is out of date."""
+    manifest = held.manifest
+    by = f" applied by {manifest.applied_by or '-'}" if manifest is not None else ""
+    at = f" at {outcomes.utc(manifest.applied_at)}" if manifest is not None else ""
+    line = f"conflict: planned for sheet version {planned}, in force is version "
+    line += f"{held.version}{by}{at}; nothing was changed, plan again"
+    return outcomes.Outcome(
+        outcomes.Exit.CONFLICT, [line], {"planned": planned, "version": held.version}
+    )
+
+
+# Overrides.
+
+
+def override_series(service: str, target: str) -> str:
+    """Return the start that the ids of all overrides of a target share."""
+    return f"{xxhash.xxh3_64_hexdigest(f'{service}/{target}'.encode())}."
+
+
+def next_id(
+    service: str, target: str, found: collections.abc.Iterable[queries.HeldOverride]
+) -> str:
+    """Return the id of a target's next override.
+
+    Ids of a target are numbered, so that of two operators who have seen the same
+    overrides only one can create the next.
+    """
+    series = override_series(service, target)
+    numbers = [
+        int(entry.value.id.removeprefix(series))
+        for entry in found
+        if entry.value.id.startswith(series)
+        and entry.value.id.removeprefix(series).isdigit()
+    ]
+    return f"{series}{max(numbers, default=0) + 1}"
+
+
+async def check_target(
+    platform: platformapi.PlatformClient, service: str, target: str
+) -> outcomes.Outcome | None:
+    """Return the refusal of an override on what the sheet does not have."""
+    read = await queries.held_sheet(platform)
+    if isinstance(read, result.Failure):
+        return outcomes.not_read(read.failure(), "the sheet")
+    content = read.unwrap().content
+    if all(entry.name != service for entry in content.services):
+        line = f"not accepted: the sheet has no service {service}"
+    elif all((t.service, t.name) != (service, target) for t in content.targets):
+        line = f"not accepted: service {service} has no target {target}"
+    else:
+        return None
+    return outcomes.Outcome(outcomes.Exit.NOT_FOUND, [line])
+
+
+def find_active(
+    found: collections.abc.Iterable[queries.HeldOverride], service: str, target: str
+) -> queries.HeldOverride | None:
+    """Return the override in force on a target."""
+    return next(
+        (
+            entry
+            for entry in found
+            if entry.state == queries.IN_FORCE
+            and (entry.value.service, entry.value.target) == (service, target)
+        ),
+        None,
+    )
+
+
+async def set_override(
+    session: queries.Session,
+    override: objects.Override,
+    over: str = "",
+    wait_s: float = 0.0,
+) -> outcomes.Outcome:
+    """Set an override.
+
+    Parameters
+    ----------
+    override : objects.Override
+        What to set; the id is chosen here.
+    over : str
+        Id of the override in force that this one supersedes, empty if there is
+        none; so nobody supersedes a colleague's override unnoticed.
+    wait_s : float
+        Seconds to wait until the override is in force on all hosts.
+    """
+    service, target = override.service, override.target
+    refused = await check_target(session.platform, service, target)
+    if refused is not None:
+        return refused
+    read = await queries.held_overrides(session.platform, now_utc())
+    if isinstance(read, result.Failure):
+        return outcomes.not_read(read.failure(), "the overrides")
+    found = read.unwrap()
+    active = find_active(found, service, target)
+    if (active.value.id if active is not None else "") != over:
+        return override_conflict(active)
+    identified = override.model_copy(
+        update={"id": next_id(service, target, found), "operation": uuid.uuid4().hex}
+    )
+    name = objects.OVERRIDE_PREFIX + identified.id
+    written = await session.platform.put(name, identified.model_dump(mode="json"), 0)
+    if isinstance(written, result.Failure):
+        return outcomes.not_written(written.failure(), name)
+    version = written.unwrap().version
+    outcome = outcomes.Outcome(
+        outcomes.Exit.OK,
+        [f"accepted: version {version}, {queries.override_line(identified)}"],
+        {"id": identified.id, "version": version},
+    )
+    if active is not None:
+        outcome.lines.append(f"supersedes {queries.override_line(active.value)}")
+        outcome.data["supersedes"] = active.value.id
+    await note_others(session, identified, found, outcome)
+    await remove_expired(session.platform, found)
+    return await with_force(session, outcome, {name: version}, wait_s)
+
+
+def override_conflict(active: queries.HeldOverride | None) -> outcomes.Outcome:
+    """Return the outcome of an override whose operator saw something else."""
+    if active is None:
+        line = "conflict: the override to supersede is no longer in force; "
+        line += "nothing was changed"
+        return outcomes.Outcome(outcomes.Exit.CONFLICT, [line])
+    line = f"conflict: in force is {queries.override_line(active.value)}; nothing "
+    line += f"was changed, use --over {active.value.id} to supersede it"
+    return outcomes.Outcome(outcomes.Exit.CONFLICT, [line], active.describe())
+
+
+async def note_others(
+    session: queries.Session,
+    mine: objects.Override,
+    seen: collections.abc.Iterable[queries.HeldOverride],
+    outcome: outcomes.Outcome,
+) -> None:
+    """Report overrides of the target that a colleague set in the same moment."""
+    read = await queries.held_overrides(session.platform, now_utc())
+    if isinstance(read, result.Failure):
+        return
+    known = {entry.value.id for entry in seen} | {mine.id}
+    others = [
+        entry
+        for entry in read.unwrap()
+        if (entry.value.service, entry.value.target) == (mine.service, mine.target)
+        and entry.value.id not in known
+    ]
+    for entry in others:
+        line = f"warning: set meanwhile and {entry.state}: "
+        outcome.lines.append(line + queries.override_line(entry.value))
+    outcome.data["set_meanwhile"] = [entry.value.id for entry in others]
+
+
+async def remove_expired(
+    platform: platformapi.PlatformClient,
+    found: collections.abc.Iterable[queries.HeldOverride],
+) -> None:
+    """Remove a few overrides that ended long ago."""
+    long_ago = now_utc() - EXPIRED_KEPT
+    ended = [e for e in found if explaining.has_expired(e.value, long_ago)]
+    for entry in ended[:EXPIRED_REMOVED_AT_ONCE]:
+        await platform.delete(objects.OVERRIDE_PREFIX + entry.value.id, entry.version)
+
+
+async def remove_override(
+    session: queries.Session, override_id: str, version: int, wait_s: float = 0.0
+) -> outcomes.Outcome:
+    """Remove an override if it has the version that the operator has read."""
+    name = objects.OVERRIDE_PREFIX + override_id
+    removed = await session.platform.delete(name, version)
+    if isinstance(removed, result.Failure):
+        return outcomes.not_written(removed.failure(), name)
+    outcome = outcomes.Outcome(
+        outcomes.Exit.OK, [f"accepted: {name} is removed"], {"id": override_id}
+    )
+    return await with_force(session, outcome, {name: 0}, wait_s)
+
+
+# Token keys.
+
+
+async def rotate_key(
+    session: queries.Session,
+    operator: str,
+    token_lifetime_s: float,
+    wait_s: float = 0.0,
+) -> outcomes.Outcome:
+    """Create a token key, and remove keys whose last token has expired.
+
+    Parameters
+    ----------
+    token_lifetime_s : float
+        Longest lifetime of tokens in the settings of the hosts.
+    """
+    listed = await session.platform.list(objects.KEY_PREFIX)
+    if isinstance(listed, result.Failure):
+        return outcomes.not_read(listed.failure(), "the keys")
+    held = sorted(listed.unwrap().objects, key=lambda stored: stored.revision)
+    keys = [
+        (stored, key)
+        for stored in held
+        if isinstance(
+            key := objects.parse(stored.name, stored.value or {}).value_or(None),
+            objects.Key,
+        )
+    ]
+    used = {key.id for _, key in keys}
+    newest = keys[-1][1].id if keys else 0
+    free = [
+        (newest + step) % KEY_IDS
+        for step in range(1, KEY_IDS)
+        if (newest + step) % KEY_IDS not in used
+    ]
+    if not free:
+        line = "not accepted: all key ids are in use"
+        return outcomes.Outcome(outcomes.Exit.NOT_ACCEPTED, [line])
+    key = objects.Key(
+        id=free[0],
+        secret=secrets.token_hex(KEY_BYTES),
+        created_by=operator,
+        created_at=now_utc(),
+    )
+    name = f"{objects.KEY_PREFIX}{key.id}"
+    written = await session.platform.put(name, key.model_dump(mode="json"), 0)
+    if isinstance(written, result.Failure):
+        return outcomes.not_written(written.failure(), name)
+    retired = []
+    for (stored, old), (_, successor) in zip(keys, keys[1:], strict=False):
+        kept_s = token_lifetime_s + ROTATION_MARGIN_S
+        since = successor.created_at
+        if since is not None and (now_utc() - since).total_seconds() > kept_s:
+            gone = await session.platform.delete(stored.name, stored.version)
+            if isinstance(gone, result.Success):
+                retired.append(old.id)
+    version = written.unwrap().version
+    outcome = outcomes.Outcome(
+        outcomes.Exit.OK,
+        [f"accepted: {name} version {version}; removed keys: {retired or 'none'}"],
+        {"id": key.id, "version": version, "removed": retired},
+    )
+    return await with_force(session, outcome, {name: version}, wait_s)
--- /dev/null
+++ b/basilgate/explaining.py
@@ -0,0 +1,228 @@
+"""Why a target gets or does not get new flows, as one host sees it."""
+
+import collections.abc
+import dataclasses
+import datetime
+import typing
+
+from basilgate import effective, home, homes, membership, objects, replica
+
+
+@dataclasses.dataclass(slots=True)
+class Observer:
+    """What one host knows."""
+
+    store: replica.Replica
+    config: effective.EffectiveConfig
+    members: membership.Membership
+    own: collections.abc.Mapping[int, home.Home]
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Load of a target according to its home."""
+
+    host: str
+    healthy: bool
+    flows: int
+    in_flight: int
+    queued: int
+
+
+def loads(observer: Observer) -> dict[int, Load]:
+    """Return the load of each target of the own domain, by target id."""
+    found = {
+        part.target: Load(
+            peer.member.host,
+            bool(part.state & homes.LOAD_HEALTHY),
+            part.flows,
+            part.in_flight,
+            part.queued,
+        )
+        for peer in observer.members.peers.values()
+        for part in peer.loads
+    }
+    for number, entry in observer.own.items():
+        found[number] = Load(
+            observer.members.me.host,
+            entry.healthy,
+            len(entry.flows),
+            len(entry.running),
+            len(entry.queue),
+        )
+    return found
+
+
+def describe_override(
+    observer: Observer, override: objects.Override
+) -> dict[str, typing.Any]:
+    """Return an override with the version that its removal has to name."""
+    stored = observer.store.stored[objects.OVERRIDE_PREFIX + override.id]
+    return {
+        "version": stored.version,
+        **override.model_dump(mode="json", exclude={"operation"}),
+    }
+
+
+def conflicts_of(target: effective.Target, load: Load | None) -> list[str]:
+    """Return where the override or the sheet and automation disagree."""
+    if load is None or load.healthy or not target.admits:
+        return []
+    wish = f"override {target.override}" if target.pinned else "the configuration"
+    return [f"{wish} wants new flows, but the target is unhealthy"]
+
+
+def obstacles(
+    target: effective.Target,
+    sheet_target: objects.SheetTarget,
+    override: objects.Override | None,
+    load: Load | None,
+) -> list[str]:
+    """Return what keeps new flows from a target."""
+    found = []
+    if not target.admits:
+        if override is not None and override.kind in ("pull", "drain", "weight"):
+            found.append(f"override {override.id}: {override.kind}")
+        if sheet_target.state == "drain":
+            found.append("sheet: state drain")
+        if override is None and sheet_target.weight == 0:
+            found.append("sheet: weight 0")
+    if load is not None and not load.healthy:
+        found.append("health: unhealthy according to its home")
+    if load is not None and load.flows >= target.connections:
+        found.append(f"load: all {target.connections} connections in use")
+    return found
+
+
+def explain(
+    observer: Observer, service: str, name: str, now: datetime.datetime
+) -> dict[str, typing.Any]:
+    """Return why a target gets or does not get new flows.
+
+    Health and load are known to the hosts of the target's failure domain; `home`
+    names the host that decides.
+    """
+    config = observer.config
+    answer: dict[str, typing.Any] = {
+        "service": service,
+        "target": name,
+        "answered_by": observer.members.me.host,
+        "sheet_version": observer.store.sheet_version,
+    }
+    target = next(
+        (
+            target
+            for target in config.by_service.get(config.service_ids.get(service, 0), [])
+            if target.name == name
+        ),
+        None,
+    )
+    planned = next(
+        (
+            part_target
+            for part in observer.store.sheet_parts()
+            for part_target in part.targets
+            if (part_target.service, part_target.name) == (service, name)
+        ),
+        None,
+    )
+    if target is None or planned is None:
+        known = service in config.service_ids
+        what = f"target {name}" if known else f"service {service}"
+        return {**answer, "found": False, "obstacles": [f"sheet: unknown {what}"]}
+    overrides = [
+        override
+        for override in effective.overrides_of(observer.store)
+        if (override.service, override.target) == (service, name)
+    ]
+    in_force = effective.active_overrides(overrides, now).get((service, name))
+    load = loads(observer).get(target.id)
+    blocked = obstacles(target, planned, in_force, load)
+    member = observer.members.home_of(target.id)
+    local = target.domain == observer.members.domain
+    return {
+        **answer,
+        "found": True,
+        "failure_domain": target.domain,
+        "home": member.host if local and member is not None else None,
+        "gets_new_flows": not blocked,
+        "obstacles": blocked,
+        "weight": target.weight,
+        "sheet": planned.model_dump(mode="json"),
+        "override": describe_override(observer, in_force) if in_force else None,
+        "superseded": [
+            describe_override(observer, override)
+            for override in overrides
+            if override is not in_force and not has_expired(override, now)
+        ],
+        "expired": [o.id for o in overrides if has_expired(o, now)],
+        "draining": target.leaving,
+        "load": dataclasses.asdict(load) if load is not None else None,
+        "conflicts": conflicts_of(target, load),
+    }
+
+
+def has_expired(override: objects.Override, now: datetime.datetime) -> bool:
+    """Tell whether an override has reached its end."""
+    return override.expires_at is not None and override.expires_at <= now
+
+
+def notable_targets(observer: Observer) -> list[dict[str, typing.Any]]:
+    """Return the own domain's targets that leave, are overridden, or unhealthy."""
+    known = loads(observer)
+    found = []
+    for target in observer.config.by_domain.get(observer.members.domain, []):
+        load = known.get(target.id)
+        if not target.leaving and not target.override and (not load or load.healthy):
+            continue
+        found.append(
+            {
+                "service": observer.config.services[target.service].name,
+                "target": target.name,
+                "leaving": target.leaving,
+                "override": target.override,
+                "flows": load.flows if load is not None else None,
+                "healthy": load.healthy if load is not None else None,
+                "conflicts": conflicts_of(target, load),
+            }
+        )
+    return found
+
+
+def configuration(
+    observer: Observer, names: collections.abc.Iterable[str]
+) -> dict[str, typing.Any]:
+    """Return which configuration this host has in force.
+
+    Parameters
+    ----------
+    names : iterable of str
+        Objects whose versions in force are wanted; 0 stands for none.
+    """
+    store = observer.store
+    live = store.live_versions()
+    pending = store.stored.get(objects.SHEET)
+    sheet = store.sheet
+    return {
+        "complete_revision": store.complete_revision,
+        "objects": {name: live.get(name, 0) for name in names},
+        "sheet": {
+            "version": store.sheet_version,
+            "pending_version": pending.version if pending is not None else 0,
+            "missing_parts": len(store.missing_parts()),
+            "date": sheet.date.isoformat() if sheet is not None else None,
+            "applied_by": sheet.applied_by if sheet is not None else None,
+            "applied_at": sheet.applied_at.isoformat() if sheet is not None else None,
+        },
+        "refused_objects": dict(store.refused),
+    }
+
+
+def directory(store: replica.Replica) -> dict[str, dict[str, str]]:
+    """Return failure domain and admin address of every host, by name."""
+    return {
+        member.host: {"failure_domain": view.domain, "admin": member.admin}
+        for view in store.under(objects.VIEW_PREFIX).values()
+        if isinstance(view, objects.View)
+        for member in view.members
+    }
--- a/basilgate/sheet.py
+++ b/basilgate/sheet.py
@@ -184,6 +184,9 @@
     """Return the checked model of one section, None with what is wrong."""
     values: dict[str, typing.Any] = {k: v for k, (v, _) in row.values.items()}
     name = row.name.rpartition("/")[2]
+    if named and "name" in values:
+        message = f"[{row.kind} {name}] name is not a known key"
+        problems.append(Problem(row.values["name"][1], message))
     if named:
         values["name"] = name
     try:
