Test configuration under failures

Change: scenarios for replicas, hosts that follow a failing platform, and the operators' commands, with the stand-in platform in the same process.

--- a/basilgate/cmdline.py
+++ b/basilgate/cmdline.py
@@ -17,12 +17,15 @@
 from basilgate import commands, errors, objects, outcomes, platformapi, queries
 
 PLATFORM_VARIABLE = "BASILGATE_PLATFORM"
-HOSTS_VARIABLE = "BASILGATE_HOSTS"
+ADMINS_VARIABLE = "BASILGATE_ADMINS"
 CALL_TIMEOUT_S = platformapi.SLOW_ANSWER_S
 DURATION = re.compile(r"^\+?(\d+)([smhd])$")
 DURATION_UNITS_S = {"s": 1, "m": 60, "h": 3_600, "d": 86_400}
 TOKEN_LIFETIME_S = 86_400
 
+# Help lists public attributes, and fire's mark on functions would be among them.
+fire.decorators.FIRE_METADATA = "_fire_metadata"
+
 Action = collections.abc.Callable[
     [queries.Session], collections.abc.Awaitable[outcomes.Outcome]
 ]
@@ -89,21 +92,21 @@
         raise errors.UsageError(f"--output {output}: expected text or json")
 
 
-def perform(action: Action, platform: str, hosts: str, output: str) -> Shown:
+def perform(action: Action, platform: str, admins: str, output: str) -> Shown:
     """Run a command or query against the platform."""
     check_output(output)
     url = platform or os.environ.get(PLATFORM_VARIABLE, "")
     if not url.startswith(("http://", "https://")):
         raise errors.UsageError(f"--platform URL or {PLATFORM_VARIABLE} is needed")
-    given = hosts or os.environ.get(HOSTS_VARIABLE, "")
-    admins = tuple(part.strip() for part in given.split(",") if part.strip())
+    given = admins or os.environ.get(ADMINS_VARIABLE, "")
+    addresses = tuple(part.strip() for part in given.split(",") if part.strip())
 
     async def run() -> outcomes.Outcome:
         async with (
             platformapi.PlatformClient(url, timeout_s=CALL_TIMEOUT_S) as client,
             httpx.AsyncClient(timeout=queries.HOST_TIMEOUT_S, trust_env=False) as http,
         ):
-            return await action(queries.Session(client, http, admins))
+            return await action(queries.Session(client, http, addresses))
 
     return Shown(anyio.run(run), output)
 
@@ -124,18 +127,18 @@
 
     @fire.decorators.SetParseFn(str)
     def plan(
-        self, file: str, platform: str = "", hosts: str = "", output: str = "text"
+        self, file: str, platform: str = "", admins: str = "", output: str = "text"
     ) -> Shown:
         """Show what a sheet would change and which overrides contradict it.
 
         Args:
             file: path of the sheet, - for standard input.
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
         text = read_text(file)
-        return perform(lambda s: queries.plan(s, text), platform, hosts, output)
+        return perform(lambda s: queries.plan(s, text), platform, admins, output)
 
     @fire.decorators.SetParseFn(str)
     def apply(
@@ -145,7 +148,7 @@
         operator: str,
         wait: str = "0",
         platform: str = "",
-        hosts: str = "",
+        admins: str = "",
         output: str = "text",
     ) -> Shown:
         """Bring a sheet into force if nobody changed it since the plan.
@@ -156,7 +159,7 @@
             operator: who applies the sheet.
             wait: seconds to wait until the sheet is in force on all hosts.
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
         text, wait_s = read_text(file), number(wait, "wait")
@@ -164,7 +167,7 @@
         return perform(
             lambda s: commands.apply_sheet(s, text, version, operator, wait_s),
             platform,
-            hosts,
+            admins,
             output,
         )
 
@@ -216,7 +219,7 @@
         over: str = "",
         wait: str = "0",
         platform: str = "",
-        hosts: str = "",
+        admins: str = "",
         output: str = "text",
     ) -> Shown:
         """Override the sheet for one target.
@@ -233,7 +236,7 @@
             over: id of the override in force that this one supersedes.
             wait: seconds to wait until the override is in force on all hosts.
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
         wait_s = number(wait, "wait")
@@ -241,7 +244,7 @@
         return perform(
             lambda s: commands.set_override(s, value, over, wait_s),
             platform,
-            hosts,
+            admins,
             output,
         )
 
@@ -262,7 +265,7 @@
         version: str,
         wait: str = "0",
         platform: str = "",
-        hosts: str = "",
+        admins: str = "",
         output: str = "text",
     ) -> Shown:
         """Remove an override.
@@ -272,14 +275,14 @@
             version: version that `override list` shows.
             wait: seconds to wait until the removal is in force on all hosts.
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
         wait_s, held = number(wait, "wait"), int(number(version, "version"))
         return perform(
             lambda s: commands.remove_override(s, override_id, held, wait_s),
             platform,
-            hosts,
+            admins,
             output,
         )
 
@@ -298,7 +301,7 @@
         over: str = "",
         wait: str = "0",
         platform: str = "",
-        hosts: str = "",
+        admins: str = "",
         output: str = "text",
     ) -> Shown:
         """Declare a target leaving: no new flows, `status` lists it until empty.
@@ -312,7 +315,7 @@
             over: id of the override in force that this one supersedes.
             wait: seconds to wait until the drain is in force on all hosts.
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
         wait_s = number(wait, "wait")
@@ -320,7 +323,7 @@
         return perform(
             lambda s: commands.set_override(s, value, over, wait_s),
             platform,
-            hosts,
+            admins,
             output,
         )
 
@@ -335,7 +338,7 @@
         token_lifetime: str = str(TOKEN_LIFETIME_S),
         wait: str = "0",
         platform: str = "",
-        hosts: str = "",
+        admins: str = "",
         output: str = "text",
     ) -> Shown:
         """Create a token key; remove keys whose last token has expired.
@@ -345,7 +348,7 @@
             token_lifetime: longest token_lifetime_s in the settings of the hosts.
             wait: seconds to wait until all hosts have the key.
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
         wait_s = number(wait, "wait")
@@ -353,7 +356,7 @@
         return perform(
             lambda s: commands.rotate_key(s, operator, lifetime_s, wait_s),
             platform,
-            hosts,
+            admins,
             output,
         )
 
@@ -369,16 +372,16 @@
 
     @fire.decorators.SetParseFn(str)
     def status(
-        self, platform: str = "", hosts: str = "", output: str = "text"
+        self, platform: str = "", admins: str = "", output: str = "text"
     ) -> Shown:
         """Show which configuration is in force where, and what needs attention.
 
         Args:
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
-        return perform(queries.status, platform, hosts, output)
+        return perform(queries.status, platform, admins, output)
 
     @fire.decorators.SetParseFn(str)
     def explain(
@@ -386,7 +389,7 @@
         service: str,
         target: str,
         platform: str = "",
-        hosts: str = "",
+        admins: str = "",
         output: str = "text",
     ) -> Shown:
         """Tell why a target gets or does not get new flows.
@@ -395,11 +398,11 @@
             service: name of the service.
             target: name of the target.
             platform: URL of the platform; default $BASILGATE_PLATFORM.
-            hosts: admin addresses of hosts, for a platform outage.
+            admins: admin addresses of hosts, for a platform outage.
             output: text or json.
         """
         return perform(
-            lambda s: queries.explain(s, service, target), platform, hosts, output
+            lambda s: queries.explain(s, service, target), platform, admins, output
         )
 
 
@@ -407,7 +410,7 @@
     """Run one command or query, print its result, and return the exit code."""
     try:
         shown = fire.Fire(
-            CommandLine,
+            CommandLine(),
             command=list(arguments),
             name="basilgate",
             serialize=lambda found: str(found) if isinstance(found, Shown) else None,
--- a/basilgate/queries.py
+++ b/basilgate/queries.py
@@ -403,7 +403,7 @@
     """Tell which configuration is in force where, and what needs attention."""
     hosts = await directory(session)
     if hosts is None:
-        line = "no answer: neither the platform nor a host given with --hosts"
+        line = "no answer: neither the platform nor a host given with --admins"
         return outcomes.Outcome(outcomes.Exit.NO_ANSWER, [line])
     answers = await acknowledgements(session, hosts, {})
     newest = max((host.revision for host in hosts.values()), default=0)
--- a/basilgate/sheet.py
+++ b/basilgate/sheet.py
@@ -4,6 +4,7 @@
 import csv
 import dataclasses
 import datetime
+import functools
 import io
 import re
 import typing
@@ -210,20 +211,21 @@
 
 
 def check_unique(
-    built: collections.abc.Iterable[tuple[Row, objects.Model]],
+    rows: collections.abc.Iterable[Row],
     what: str,
-    key: collections.abc.Callable[[typing.Any], typing.Any],
+    key: collections.abc.Callable[[Row], str],
     problems: list[Problem],
 ) -> None:
     """Report each value that occurs a second time."""
-    seen: dict[typing.Any, Row] = {}
-    for row, model in built:
-        value = key(model)
+    seen: dict[str, Row] = {}
+    for row in rows:
+        value = key(row)
         if value in seen:
             message = f"[{row.kind} {row.name}] duplicate {what} {value}, "
-            message += f"also in line {seen[value].line}"
-            problems.append(Problem(row.line, message))
-        else:
+            message += f"also in the section of line {seen[value].line}"
+            line = row.values[what][1] if what in row.values else row.line
+            problems.append(Problem(line, message))
+        elif value:
             seen[value] = row
 
 
@@ -243,57 +245,69 @@
     lines = (line.strip() for line in text.splitlines())
     first = next((line for line in lines if line and line[0] not in "#;"), "")
     rows, problems = read_ini(text) if first.startswith("[") else read_csv(text)
-    built: dict[str, list[tuple[Row, typing.Any]]] = {kind: [] for kind in MODELS}
+    built: dict[str, list[typing.Any]] = {kind: [] for kind in MODELS}
     for row in rows:
         if row.kind not in MODELS:
             problems.append(Problem(row.line, f"unknown section [{row.kind}]"))
             continue
         model = build(row, MODELS[row.kind], row.kind != "sheet", problems)
         if model is not None:
-            built[row.kind].append((row, model))
-    check_references(rows, built, problems)
+            built[row.kind].append(model)
+    check_references(rows, problems)
     if problems:
         return result.Failure(sorted(problems))
-    heading = built["sheet"][0][1]
+    heading = built["sheet"][0]
     return result.Success(
         Content(
-            domains=tuple(model for _, model in built["failure_domain"]),
-            services=tuple(model for _, model in built["service"]),
-            targets=tuple(model for _, model in built["target"]),
+            domains=tuple(built["failure_domain"]),
+            services=tuple(built["service"]),
+            targets=tuple(built["target"]),
             date=heading.date,
             planner=heading.planner,
         )
     )
 
 
-def check_references(
-    rows: list[Row],
-    built: dict[str, list[tuple[Row, typing.Any]]],
-    problems: list[Problem],
-) -> None:
-    """Report what is doubled, and targets whose service or domain is unknown."""
-    headings = [row for row in rows if row.kind == "sheet"]
-    if not headings:
+def raw(row: Row, key: str) -> str:
+    """Return a value as it stands in the sheet, numbers without leading zeros."""
+    value = row.values.get(key, ("", 0))[0]
+    return str(int(value)) if value.isdecimal() else value
+
+
+def target_name(row: Row) -> str:
+    """Return the service and the name of a target."""
+    return f"{raw(row, 'service')}/{row.name.rpartition('/')[2]}"
+
+
+def check_references(rows: list[Row], problems: list[Problem]) -> None:
+    """Report what is doubled, and targets whose service or domain is unknown.
+
+    The check uses the values as written, so that another fault in the same
+    section hides nothing.
+    """
+    by_kind: dict[str, list[Row]] = {kind: [] for kind in MODELS}
+    for row in rows:
+        by_kind.setdefault(row.kind, []).append(row)
+    if not by_kind["sheet"]:
         problems.append(Problem(1, "[sheet] with date is missing"))
-    for row in headings[1:]:
+    for row in by_kind["sheet"][1:]:
         problems.append(Problem(row.line, "[sheet] is repeated"))
-    for kind in ("service", "target"):
-        check_unique(built[kind], "id", lambda model: model.id, problems)
-    check_unique(built["failure_domain"], "number", lambda m: m.number, problems)
+    for kind, key in (
+        ("service", "id"),
+        ("target", "id"),
+        ("failure_domain", "number"),
+    ):
+        check_unique(by_kind[kind], key, functools.partial(raw, key=key), problems)
     for kind in ("service", "failure_domain"):
-        check_unique(built[kind], "name", lambda model: model.name, problems)
-    check_unique(built["target"], "name", lambda m: (m.service, m.name), problems)
-    # A section with other faults still defines its name.
+        check_unique(by_kind[kind], "name", lambda row: row.name, problems)
+    check_unique(by_kind["target"], "name", target_name, problems)
     names = {(row.kind, row.name) for row in rows}
-    for row, target in built["target"]:
-        for kind, value in (
-            ("service", target.service),
-            ("failure_domain", target.failure_domain),
-        ):
-            if (kind, value) not in names:
-                line = row.values[kind][1]
-                message = f"[target {target.name}] unknown {kind} {value}"
-                problems.append(Problem(line, message))
+    for row in by_kind["target"]:
+        for kind in ("service", "failure_domain"):
+            value = raw(row, kind)
+            if value and (kind, value) not in names:
+                message = f"[target {row.name}] unknown {kind} {value}"
+                problems.append(Problem(row.values[kind][1], message))
 
 
 # Parts.
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,559 @@
+"""Steps for the replica and for hosts that follow the platform."""
+
+import contextlib
+import datetime
+import logging
+
+import anyio
+import anyio.from_thread
+import behave
+
+from basilgate import commands, configsync, metrics, objects, platformapi, replica
+from basilgate import sheet as sheets
+from lab import confighosts
+from standins import platform as platform_standin
+
+logging.getLogger("httpx").setLevel(logging.WARNING)
+
+NAME = "override/o.1"
+WAIT_LIMIT_S = 30.0
+CREATED_AT = datetime.datetime(2026, 12, 4, 6, 0, tzinfo=datetime.UTC)
+
+
+def override(reason="", **changes):
+    """Return an override of one target."""
+    values = {
+        "id": "o.1",
+        "kind": "pull",
+        "service": "desk-1",
+        "target": "t1",
+        "operator": "ana",
+        "reason": reason,
+        "created_at": CREATED_AT,
+    }
+    return objects.Override(**(values | changes))
+
+
+def value_of(model):
+    """Return an object's value as the platform holds it."""
+    return model.model_dump(mode="json")
+
+
+def stored(version, revision, name=NAME, value=None):
+    """Return a stored override, or a tombstone if `value` is None."""
+    return objects.StoredObject(name, version, revision, value)
+
+
+def content(services=1, targets=2, weight=100):
+    """Return a sheet of `services` services with `targets` targets each."""
+    listed = [
+        objects.SheetTarget(
+            name=f"t{t}",
+            id=s * targets + t + 1,
+            service=f"desk-{s}",
+            failure_domain="suceava",
+            address="127.0.0.1:8000",
+            admin="127.0.0.1:8001",
+            weight=weight if (s, t) == (0, 0) else 100,
+        )
+        for s in range(services)
+        for t in range(targets)
+    ]
+    return sheets.Content(
+        (objects.SheetDomain(name="suceava", number=1),),
+        tuple(
+            objects.SheetService(name=f"desk-{s}", id=s + 1) for s in range(services)
+        ),
+        tuple(listed),
+        datetime.date(2026, 12, 4),
+    )
+
+
+def sheet_objects(sheet, version, revision):
+    """Return the manifest and the parts of a sheet as stored objects."""
+    parts = sheets.divide(sheet)
+    manifest = objects.Sheet(date=sheet.date, applied_at=CREATED_AT, parts=tuple(parts))
+    held = objects.StoredObject(objects.SHEET, version, revision, value_of(manifest))
+    return held, [
+        objects.StoredObject(objects.SHEET_PART_PREFIX + name, 1, revision - 1, part)
+        for name, part in parts.items()
+    ]
+
+
+def counted(counter):
+    """Return a counter's value, 0 before its first increment."""
+    with contextlib.suppress(KeyError):
+        return counter.get({})
+    return 0
+
+
+# Replicas.
+
+
+@behave.given("a configuration replica that holds version 3 of an override")
+def hold_version(context):
+    """Hold version 3, written at revision 30."""
+    context.replica = replica.Replica()
+    assert context.replica.apply(stored(3, 30, value=value_of(override())))
+    context.reverts = counted(metrics.REVERTS_REFUSED)
+    context.refused = counted(metrics.OBJECTS_REFUSED)
+
+
+@behave.when("a peer offers version 2 of it")
+def offer_older(context):
+    """Offer an older version."""
+    assert not context.replica.apply(stored(2, 20, value=value_of(override())))
+
+
+@behave.then("the configuration replica still holds version 3 and has {what}")
+def check_held(context, what):
+    """Check the version and the counter."""
+    assert context.replica.versions() == {NAME: 3}
+    if what == "counted a revert":
+        assert counted(metrics.REVERTS_REFUSED) == context.reverts + 1
+    else:
+        assert counted(metrics.OBJECTS_REFUSED) == context.refused + 1
+
+
+@behave.when("version 4 of it is {fault} and arrives 3 times")
+def offer_malformed(context, fault):
+    """Offer a malformed version several times."""
+    value = value_of(override("x" * objects.MAX_OTHER_BYTES))
+    if fault == "corrupt":
+        value = {"id": "o.1", "kind": "nonsense"}
+    for _ in range(3):
+        assert not context.replica.apply(stored(4, 40, value=value))
+
+
+@behave.then("version 5 of the configuration object is taken over")
+def take_next(context):
+    """Check that a valid version still gets in."""
+    assert context.replica.apply(stored(5, 50, value=value_of(override())))
+
+
+@behave.given("a configuration replica that missed removal, creation, and removal")
+def miss_history(context):
+    """Hold version 1 of an object that is at version 4 on the platform."""
+    context.replica = replica.Replica()
+    context.replica.apply(stored(1, 10, value=value_of(override())))
+    # The peer saw the second creation but not the removal after it.
+    context.later = stored(3, 30, value=value_of(override()))
+
+
+def list_nothing(context):
+    """Apply a listing at revision 40 that does not hold the object."""
+    context.replica.apply_listing(objects.OVERRIDE_PREFIX, 40, [])
+    context.replica.complete(40)
+    assert context.replica.live_versions() == {}
+
+
+@behave.when("it lists the platform and a peer offers the second creation")
+def list_and_offer(context):
+    """List, and offer the older object."""
+    list_nothing(context)
+    context.replica.apply(context.later)
+
+
+@behave.then("the configuration object stays removed")
+def check_removed(context):
+    """Check that nothing is in force."""
+    assert context.replica.live_versions() == {}
+
+
+@behave.then("creating the configuration object again brings it into force")
+def create_again(context):
+    """Create the object after the removal."""
+    assert context.replica.apply(stored(5, 50, value=value_of(override())))
+    assert context.replica.live_versions() == {NAME: 5}
+
+
+@behave.when("it lists the platform and a peer with the second creation syncs from it")
+def list_and_sync(context):
+    """List, and let the older peer sync."""
+    list_nothing(context)
+    context.peer = replica.Replica()
+    context.peer.apply(context.later)
+    context.peer.apply_all(context.replica.newer_than(context.peer.versions()))
+
+
+@behave.then("the configuration object is removed at the peer")
+def check_removed_at_peer(context):
+    """Check the peer and the digests."""
+    assert context.peer.live_versions() == {}
+    assert context.peer.digest == context.replica.digest
+
+
+@behave.given("a configuration replica with a sheet of several parts")
+def hold_sheet(context):
+    """Bring a sheet into force."""
+    context.replica = replica.Replica()
+    manifest, parts = sheet_objects(content(150, 3), 1, 100)
+    assert len(parts) > 2
+    context.replica.apply_all([manifest, *parts])
+    assert context.replica.sheet_version == 1
+
+
+@behave.when("the next manifest arrives before its parts")
+def deliver_manifest(context):
+    """Deliver the manifest of a sheet that differs in all parts."""
+    manifest, context.parts = sheet_objects(content(150, 2), 2, 200)
+    context.digest = context.replica.digest
+    context.replica.apply(manifest)
+
+
+@behave.then("the first configuration sheet stays in force until the last part is here")
+def check_flip(context):
+    """Deliver the parts one by one."""
+    for number, part in enumerate(context.parts):
+        assert context.replica.sheet_version == 1, number
+        assert context.replica.digest == context.digest
+        targets = [t for p in context.replica.sheet_parts() for t in p.targets]
+        assert len(targets) == 450
+        context.replica.apply(part)
+    assert context.replica.sheet_version == 2
+    assert len(context.replica.stored) == 1 + len(context.parts)
+
+
+@behave.given("a random history of configuration objects")
+def make_history(context):
+    """Create, change, and remove objects at random."""
+    context.platform = platform_standin.Platform()
+    store = context.platform.store
+    for step in range(300):
+        number = context.rng.randrange(12)
+        name = f"override/o.{number}"
+        if store.version(name) and context.rng.random() < 0.4:
+            store.write(name, None)
+        else:
+            store.write(name, value_of(override(f"step {step}", id=f"o.{number}")))
+
+
+@behave.when(
+    "it reaches configuration replicas in parts, out of order, and through peers"
+)
+def deliver_history(context):
+    """Deliver random pieces, listings of any age, and syncs between replicas."""
+    rng, store = context.rng, context.platform.store
+    hosts = [confighosts.ConfigHost(f"h{n}", "a", None) for n in range(4)]
+    context.hosts = hosts
+    for _ in range(600):
+        host, other = rng.sample(hosts, 2)
+        action = rng.random()
+        if action < 0.6:
+            host.store.apply(rng.choice(store.history))
+        elif action < 0.7:
+            take_listing(host.store, store, rng.randint(1, store.revision))
+        else:
+            sync(host.store, other.store)
+    for host in hosts:
+        take_listing(host.store, store, store.revision)
+
+
+def take_listing(held, store, revision):
+    """List the store as it was at a revision, as a host does."""
+    earlier = store.as_of(revision)
+    if earlier.revision < held.complete_revision:
+        return
+    live = [found for found in earlier.objects.values() if found.value is not None]
+    held.apply_listing(objects.OVERRIDE_PREFIX, earlier.revision, live)
+    held.complete(earlier.revision)
+
+
+def sync(held, other):
+    """Take what a peer offers, as a host does."""
+    request = type("Request", (), {})()
+    request.versions = [
+        configsync.ttypes.ObjectVersion(*pair) for pair in held.versions().items()
+    ]
+    reply = configsync.sync_reply(other, request)
+    held.apply_all(configsync.peering.from_thrift(part) for part in reply.objects)
+    held.complete(reply.revision)
+
+
+@behave.then("no configuration replica steps back and all agree with the platform")
+def check_agreement(context):
+    """Compare with the platform's newest state."""
+    newest = {
+        name: found.version
+        for name, found in context.platform.store.objects.items()
+        if found.value is not None
+    }
+    for host in context.hosts:
+        assert host.reverts == [], host.reverts
+        assert host.store.live_versions() == newest
+    assert len({host.store.digest for host in context.hosts}) == 1
+
+
+# Hosts.
+
+
+@behave.fixture
+def portal(context):
+    """Run an event loop beside the scenario."""
+    with anyio.from_thread.start_blocking_portal() as context.portal:
+        yield
+
+
+@behave.fixture
+def config_hosts(context, count):
+    """Run hosts that follow the stand-in platform in this process."""
+    context.platform = platform_standin.Platform()
+    context.hosts, context.running = {}, []
+
+    async def exchange():
+        while True:
+            with anyio.move_on_after(confighosts.GOSSIP_INTERVAL_S):
+                await confighosts.gossip(list(context.hosts.values()))
+
+    context.slow_answer_s = platformapi.SLOW_ANSWER_S
+    platformapi.SLOW_ANSWER_S = 0.5
+    context.running.append(context.portal.start_task_soon(exchange))
+    for number in range(count):
+        start_host(context, f"h{number}")
+    yield
+    platformapi.SLOW_ANSWER_S = context.slow_answer_s
+    for task in context.running:
+        task.cancel()
+
+
+def start_host(context, name):
+    """Start a host; its replica is empty."""
+    client = context.portal.call(make_client, context.platform)
+    host = confighosts.ConfigHost(name, "suceava", client)
+    future, _ = context.portal.start_task(host.run)
+    context.running.append(future)
+    context.hosts[name] = host
+    return host
+
+
+async def make_client(platform):
+    """Return a client in the event loop that uses it."""
+    return confighosts.connect(platform)
+
+
+def cut(host, is_cut):
+    """Make every call of one host fail, or end that."""
+
+    async def refuse(*args, **options):
+        kind = platformapi.ProblemKind.UNAVAILABLE
+        return platformapi.result.Failure(platformapi.Problem(kind))
+
+    if is_cut:
+        host.client.exchange = refuse
+    else:
+        del host.client.exchange
+
+
+def write(context, name, value):
+    """Write an object in the platform's event loop."""
+
+    async def put():
+        return context.platform.store.write(name, value)
+
+    return context.portal.call(put)
+
+
+def wait_until(context, check):
+    """Wait until a check holds; the limit only guards against hanging."""
+
+    async def wait():
+        with anyio.fail_after(WAIT_LIMIT_S):
+            while not check():
+                await anyio.sleep(0.02)
+
+    context.portal.call(wait)
+
+
+def everywhere(context, **versions):
+    """Return a check that all hosts have exactly the platform's live objects."""
+
+    def check():
+        newest = {
+            name: found.version
+            for name, found in context.platform.store.objects.items()
+            if found.value is not None and not objects.is_part(name)
+        }
+        return all(h.store.live_versions() == newest for h in context.hosts.values())
+
+    return check
+
+
+def check_no_reverts(context):
+    """Check that no host ever stepped back."""
+    for host in context.hosts.values():
+        assert host.reverts == [], host.reverts
+
+
+@behave.given("a configuration platform and {count:d} hosts")
+def run_hosts(context, count):
+    """Start the stand-in and hosts."""
+    behave.use_fixture(portal, context)
+    behave.use_fixture(config_hosts, context, count)
+    write(context, "key/1", {"id": 1, "secret": "17" * 32})
+    wait_until(context, everywhere(context))
+
+
+@behave.given("an accepted configuration override")
+def accept_override(context):
+    """Accept an override and let it reach all hosts."""
+    context.before = context.platform.store.revision
+    write(context, NAME, value_of(override()))
+    wait_until(context, everywhere(context))
+
+
+@behave.when("the platform answers from before the override and its watches end")
+def answer_stale(context):
+    """Fail over to a store that lags behind, for several reads."""
+    context.platform.faults.stale_revision = context.before
+    calls = dict(context.platform.calls)
+    wait_until(
+        context,
+        lambda: (
+            context.platform.calls.get("GET /objects", 0)
+            >= calls.get("GET /objects", 0) + 2 * len(context.hosts)
+        ),
+    )
+
+
+@behave.then("the configuration override stays in force on all hosts")
+def check_in_force(context):
+    """Check that no host stepped back."""
+    assert everywhere(context)()
+    check_no_reverts(context)
+
+
+@behave.then("later changes of the configuration arrive after the platform caught up")
+def catch_up(context):
+    """End the fault and change the override."""
+    context.platform.faults.stale_revision = 0
+    write(context, NAME, value_of(override("changed")))
+    wait_until(context, everywhere(context))
+    check_no_reverts(context)
+
+
+@behave.when("watches stall and a configuration override is accepted")
+def stall(context):
+    """Let no watch end any more."""
+    context.platform.faults.stall_watches = True
+    write(context, NAME, value_of(override()))
+
+
+@behave.then("the configuration override comes into force on all hosts")
+def check_arrives(context):
+    """Wait for the override."""
+    wait_until(context, everywhere(context))
+    check_no_reverts(context)
+
+
+@behave.when(
+    "the platform refuses 3 of each 6 calls and 10 configuration overrides change"
+)
+def flap(context):
+    """Change objects while calls are refused in groups."""
+    context.platform.faults.flap_calls = 3
+    for step in range(10):
+        name = f"override/o.{step % 4}"
+        value = None if step in (5, 9) else value_of(override(id=f"o.{step % 4}"))
+        write(context, name, value)
+
+
+@behave.then("all configuration hosts have what the platform holds")
+def check_all(context):
+    """Wait until all hosts agree with the platform."""
+    wait_until(context, everywhere(context))
+    check_no_reverts(context)
+
+
+@behave.when(
+    "the platform is down and a configuration host restarts beside an older peer"
+)
+def restart_in_outage(context):
+    """Restart h0 while h1 still has the state before the override."""
+    context.platform.faults.down = True
+    older = context.hosts["h1"]
+    earlier = context.platform.store.as_of(context.before)
+
+    async def step_back():
+        older.store.stored.clear()
+        older.store.parsed.clear()
+        older.store.digest = older.store.revision = 0
+        older.store.complete_revision = 0
+        older.seen.clear()
+        older.store.apply_all(earlier.objects.values())
+        older.store.complete(context.before)
+
+    context.portal.call(step_back)
+    context.running[1].cancel()
+    start_host(context, "h0")
+
+
+@behave.then("the restarted configuration host has the override in force")
+def check_restarted(context):
+    """Wait until h0 and the older peer have the override."""
+    wait_until(context, everywhere(context))
+    assert context.platform.faults.down
+    check_no_reverts(context)
+
+
+@behave.when("3 of them lose the platform and a configuration override is accepted")
+def lose_platform(context):
+    """Cut three hosts, then accept an override."""
+    for name in ("h1", "h2", "h3"):
+        cut(context.hosts[name], True)
+    write(context, NAME, value_of(override()))
+
+
+@behave.given("a configuration sheet of many parts in force")
+def force_sheet(context):
+    """Apply a sheet by the command."""
+    apply_content(context, content(150, 3), 0)
+    wait_until(context, everywhere(context))
+
+
+def apply_content(context, sheet, version):
+    """Apply a sheet's content by the command."""
+
+    async def apply():
+        session = confighosts.session(confighosts.connect(context.platform))
+        return await commands.apply_sheet(
+            session, sheet_text(sheet), version, "ana", 0.0
+        )
+
+    outcome = context.portal.call(apply)
+    assert outcome.exit == 0, outcome.lines
+    return outcome
+
+
+def sheet_text(sheet):
+    """Return a sheet as INI text."""
+    lines = ["[sheet]", f"date = {sheet.date}"]
+    sections = (
+        ("failure_domain", sheet.domains),
+        ("service", sheet.services),
+        ("target", sheet.targets),
+    )
+    for kind, models in sections:
+        for model in models:
+            lines.append(f"[{kind} {model.name}]")
+            values = model.model_dump(mode="json", exclude={"name"})
+            lines += [f"{key} = {value}" for key, value in values.items()]
+    return "\n".join(lines)
+
+
+@behave.when("one line changes and the configuration sheet is applied again")
+def change_line(context):
+    """Change the weight of one target, with the host reading by listing only."""
+    host = context.hosts["h0"]
+    context.taken = []
+    host.store.subscribe_batches(context.taken.extend)
+    apply_content(context, content(150, 3, weight=7), 1)
+
+
+@behave.then("the configuration host has read one more part")
+def check_parts_read(context):
+    """Count the parts that were taken over."""
+    wait_until(context, everywhere(context))
+    parts = [found for found in context.taken if objects.is_part(found.name)]
+    assert len(parts) == 1, len(parts)
+    weights = {t.weight for t in context.hosts["h0"].effective().targets.values()}
+    assert weights == {7, 100}
