--- a/basilgate/sheet.py
+++ b/basilgate/sheet.py
@@ -113,28 +113,39 @@
     rows: dict[tuple[str, str], Row] = {}
     problems: list[Problem] = []
     columns: list[str] = []
-    for cells in reader:
-        line = reader.line_num
-        if not any(cell.strip() for cell in cells):
-            continue
-        if not columns:
+    try:
+        for cells in reader:
+            if not any(cell.strip() for cell in cells):
+                continue
+            if columns:
+                read_cells(rows, columns, cells, reader.line_num, problems)
+                continue
             columns = [cell.strip() for cell in cells]
-            doubled = sorted({c for c in columns if columns.count(c) > 1})
-            problems += [
-                Problem(line, f"column {name} is repeated") for name in doubled
-            ]
-            continue
-        if len(cells) > len(columns):
-            problems.append(Problem(line, "more cells than columns"))
-        present = {
-            column: cell.strip()
-            for column, cell in zip(columns, cells, strict=False)
-            if cell.strip()
-        }
-        add_csv_row(rows, present, line, problems)
+            for name in sorted({c for c in columns if columns.count(c) > 1}):
+                problems.append(Problem(reader.line_num, f"column {name} is repeated"))
+    except csv.Error as error:
+        problems.append(Problem(max(1, reader.line_num), f"not CSV: {error}"))
     return list(rows.values()), problems
 
 
+def read_cells(
+    rows: dict[tuple[str, str], Row],
+    columns: list[str],
+    cells: list[str],
+    line: int,
+    problems: list[Problem],
+) -> None:
+    """Take in one row of a CSV sheet; empty cells stand for defaults."""
+    if len(cells) > len(columns):
+        problems.append(Problem(line, "more cells than columns"))
+    present = {
+        column: cell.strip()
+        for column, cell in zip(columns, cells, strict=False)
+        if cell.strip()
+    }
+    add_csv_row(rows, present, line, problems)
+
+
 def add_csv_row(
     rows: dict[tuple[str, str], Row],
     cells: dict[str, str],
@@ -271,7 +282,7 @@
 def raw(row: Row, key: str) -> str:
     """Return a value as it stands in the sheet, numbers without leading zeros."""
     value = row.values.get(key, ("", 0))[0]
-    return str(int(value)) if value.isdecimal() else value
+    return value.lstrip("0") or "0" if value.isdecimal() else value
 
 
 def target_name(row: Row) -> str:
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -56,6 +56,12 @@
     When the platform refuses 3 of each 6 calls and 10 configuration overrides change
     Then all configuration hosts have what the platform holds
 
+  Scenario: Configuration arrives from a platform that answers slowly
+    Given a configuration platform and 2 hosts
+    When each answer takes longer than the time limit of configuration writes
+    Then the configuration override comes into force on all hosts
+    And a configuration write is accepted once although its answer comes too late
+
   Scenario: A host that restarts during an outage takes the configuration from peers
     Given a configuration platform and 3 hosts
     And an accepted configuration override
--- a/features/configuration_commands.feature
+++ b/features/configuration_commands.feature
@@ -61,6 +61,10 @@
     Then it has the configuration that the INI sheet has
     And a conflicting configuration column is reported with its line
 
+  Scenario: Any text is a configuration sheet or a list of problems
+    When random texts are read as configuration sheets
+    Then each result is a configuration sheet or problems with line numbers
+
   Scenario: Configuration sheets applied at once leave one whole sheet
     Given a configuration platform for commands
     When 30 rounds of 3 operators apply different configuration sheets at once
--- a/features/steps/configuration_commands_steps.py
+++ b/features/steps/configuration_commands_steps.py
@@ -9,6 +9,8 @@
 import anyio
 import behave
 import configuration_steps as base
+import hypothesis
+import hypothesis.strategies as st
 from returns import result
 
 from basilgate import (
@@ -478,6 +480,32 @@
     assert [problem.line for problem in problems] == [4], problems
 
 
+@behave.when("random texts are read as configuration sheets")
+def read_random_texts(context):
+    """Read arbitrary text, and text made of pieces of real sheets."""
+    pieces = st.sampled_from([*FAULTY.splitlines(), "[", "=", "a,b", "service,target"])
+    texts = st.one_of(st.text(), st.lists(st.one_of(pieces, st.text())).map("\n".join))
+    context.checked = 0
+
+    @hypothesis.given(texts)
+    def read(text):
+        parsed = sheets.parse(text)
+        if isinstance(parsed, result.Failure):
+            assert all(problem.line >= 1 for problem in parsed.failure())
+            assert parsed.failure()
+        else:
+            sheets.divide(parsed.unwrap())
+        context.checked += 1
+
+    read()
+
+
+@behave.then("each result is a configuration sheet or problems with line numbers")
+def check_random_texts(context):
+    """Check that texts were read."""
+    assert context.checked >= 100, context.checked
+
+
 @behave.when(
     "{rounds:d} rounds of 3 operators apply different configuration sheets at once"
 )
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -481,6 +481,29 @@
     check_no_reverts(context)
 
 
+@behave.when("each answer takes longer than the time limit of configuration writes")
+def answer_slowly(context):
+    """Delay answers, and accept an override."""
+    platformapi.SLOW_ANSWER_S = 5.0
+    context.platform.faults.answer_delay_s = 0.5
+    write(context, NAME, value_of(override()))
+
+
+@behave.then(
+    "a configuration write is accepted once although its answer comes too late"
+)
+def write_slowly(context):
+    """Write with a time limit that is shorter than the delay."""
+
+    async def put():
+        client = confighosts.connect(context.platform)
+        client.timeout_s = 0.2
+        return await client.put(NAME, value_of(override("second")), 1)
+
+    assert context.portal.call(put).unwrap().version == 2
+    assert context.platform.store.objects[NAME].version == 2
+
+
 @behave.when(
     "the platform is down and a configuration host restarts beside an older peer"
 )
