Test that a clean-up spares parts of a sheet about to be applied

Cause: removing the rule that protects new parts made no scenario fail. Change: a scenario with two clean-ups between the parts and the manifest. Conclusion: the rule is covered.

--- a/features/configuration_commands.feature
+++ b/features/configuration_commands.feature
@@ -70,6 +70,12 @@
     When 30 rounds of 3 operators apply different configuration sheets at once
     Then in each round one configuration sheet is accepted and every part is there
 
+  Scenario: A clean-up spares the parts of a configuration sheet about to be applied
+    Given a configuration platform for commands
+    And two applied configuration sheets
+    When colleagues clean up between the parts and the manifest of the first one
+    Then the configuration sheet is accepted and every part is there
+
   Scenario Outline: A configuration change is claimed only if it was accepted
     Given a configuration platform for commands
     And an applied configuration sheet
--- a/features/steps/configuration_commands_steps.py
+++ b/features/steps/configuration_commands_steps.py
@@ -557,6 +557,46 @@
     assert len(parts) <= 4 * len(follow(context).store.sheet.parts), len(parts)
 
 
+@behave.given("two applied configuration sheets")
+def apply_two(context):
+    """Leave the parts of the first sheet behind."""
+    context.first = base.content(3, 2, weight=1)
+    assert apply(context, context.first, 0).exit == 0
+    assert apply(context, base.content(3, 2, weight=2), 1).exit == 0
+
+
+@behave.when("colleagues clean up between the parts and the manifest of the first one")
+def clean_up_between(context):
+    """Clean up by what was read before and after the parts were written."""
+
+    async def apply_first_again(session):
+        client = confighosts.connect(context.platform)
+        put = session.platform.put
+        before = (await queries.held_sheet(client)).unwrap()
+
+        async def put_after_clean_up(name, value, version):
+            if name == objects.SHEET:
+                after = (await queries.held_sheet(client)).unwrap()
+                assert set(after.parts) != {*after.manifest.parts}
+                for held in (before, after):
+                    await commands.clean_up(client, held)
+            return await put(name, value, version)
+
+        session.platform.put = put_after_clean_up
+        text = base.sheet_text(context.first)
+        return await commands.apply_sheet(session, text, 2, "ion")
+
+    context.outcomes.append(run(context, apply_first_again))
+
+
+@behave.then("the configuration sheet is accepted and every part is there")
+def check_spared(context):
+    """Check the platform and a host that reads it."""
+    assert context.outcomes[-1].exit == 0
+    reader = follow(context).store
+    assert reader.missing_parts() == [] and reader.sheet_version == 3
+
+
 # Acceptance and force.
 
 
