--- a/basilgate/queries.py
+++ b/basilgate/queries.py
@@ -526,5 +526,7 @@
             f"{health}, {load['flows']} flows, {load['in_flight']} in flight, "
             f"{load['queued']} queued (home {load['host']})"
         )
+    if answer["draining"]:
+        lines.append("draining: listed by `status` until the last flow ends")
     lines += [f"conflict: {conflict}" for conflict in answer["conflicts"]]
     return lines
--- a/lab/configbench.py
+++ b/lab/configbench.py
@@ -15,6 +15,7 @@
 import statistics
 import sys
 import time
+import tracemalloc
 import typing
 
 import anyio
@@ -446,6 +447,7 @@
         return store
 
     load_s, store = timed(load, 3)
+    memory_bytes = memory_of(stored)
     now = commands.now_utc()
     prepare_s, base = timed(lambda: effective.prepare(store.sheet_parts()))
     merge_s, merged = timed(
@@ -463,11 +465,26 @@
         "parse_s": parse_s,
         "divide_s": divide_s,
         "load_replica_s": load_s,
+        "memory_bytes": memory_bytes,
         "prepare_sheet_s": prepare_s,
         "merge_s": merge_s,
     }
 
 
+def memory_of(stored: collections.abc.Iterable[objects.StoredObject]) -> int:
+    """Return the bytes of a replica and the configuration merged from it."""
+    texts = [json.dumps(dataclasses.astuple(entry)) for entry in stored]
+    tracemalloc.start()
+    store = replica.Replica()
+    store.apply_all(objects.StoredObject(*json.loads(text)) for text in texts)
+    base = effective.prepare(store.sheet_parts())
+    merged = effective.merge(base, effective.overrides_of(store), commands.now_utc())
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(merged.targets) == TARGETS
+    return used
+
+
 async def spread_at_capacity(rng: random.Random) -> dict[str, typing.Any]:
     """Return how changes spread to 8 hosts in one process at the capacity goal."""
     content = capacity_content(rng)
