--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -102,10 +102,14 @@
   5: required list<RequestRecord> records,
   6: required list<QueuedRequest> queued,
   7: required list<FlowEntry> flows,
-  8: required i32 slots_in_use,
   // Unix time in milliseconds before which non-idempotent work must wait; 0: none.
-  9: required i64 authority_ms,
-  10: required bool records_complete,
+  8: required i64 authority_ms,
+  9: required bool records_complete,
+  // Tells a repeated message from a new one.
+  10: required i64 serial,
+  // Former home whose right may still hold; empty if none.
+  11: required string former_host,
+  12: required i64 former_incarnation,
 }
 
 // Tells the new home that a request still running at the former home ended.
@@ -119,11 +123,19 @@
   7: required i8 reason,
 }
 
-// A view that the sender adopted, pushed to the members at once.
+// A change of the domain view that the sender wrote, pushed to the members at once.
+// It carries the difference, since a view of 69 members does not fit a datagram.
 struct ViewChanged {
   1: required string host,
   2: required i64 incarnation,
-  3: required StoredObject view,
+  3: required i64 base_version,
+  4: required i64 version,
+  5: required i64 revision,
+  6: required i64 epoch,
+  7: required string operation,
+  8: required list<string> removed,
+  // Added members as JSON text.
+  9: required list<string> added,
 }
 
 struct Acknowledgement {
