--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -24,6 +24,7 @@
     datagrams,
     effective,
     errors,
+    explaining,
     home,
     homes,
     logs,
@@ -82,7 +83,8 @@
         self.ring = tokens.KeyRing()
         self.store = replica.Replica()
         self.effective = effective.EffectiveConfig()
-        self.parts: list[objects.SheetPart] = []
+        self.base = effective.Base()
+        self.base_version = 0
         self.rng = random.Random(time.time_ns())
         self.callers: datagrams.DatagramSocket
         self.peers: datagrams.DatagramSocket
@@ -153,41 +155,39 @@
             config.platform.watch_timeout_s,
         )
         self.members.on_behind = self.sync.note_behind
-        self.store.subscribe(self.on_object)
+        self.store.subscribe_batches(self.on_objects)
         # Monotonic time until which each other domain counts as reachable.
         self.reachable_until: dict[str, float] = {}
 
     # Configuration.
 
-    def on_object(self, stored: objects.StoredObject) -> None:
-        """Bring an applied object into force."""
-        if stored.name.startswith(objects.KEY_PREFIX):
+    def on_objects(self, applied: list[objects.StoredObject]) -> None:
+        """Bring objects that were applied together into force."""
+        names = [stored.name for stored in applied]
+        if any(name.startswith(objects.KEY_PREFIX) for name in names):
             self.load_keys()
-        elif stored.name.startswith(objects.VIEW_PREFIX):
-            return
-        else:
+        others = (objects.KEY_PREFIX, objects.VIEW_PREFIX)
+        if any(not name.startswith(others) for name in names):
             self.load_config()
 
     def load_keys(self) -> None:
         """Take the token keys from the replica."""
-        held = self.store.under(objects.KEY_PREFIX).values()
+        held = self.store.accepted_order(objects.KEY_PREFIX)
         keys = [key for key in held if isinstance(key, objects.Key)]
         for key in keys:
             self.ring.add(key.id, bytes.fromhex(key.secret))
         self.ring.retain({key.id for key in keys})
+        now = datetime.datetime.now(datetime.UTC)
+        self.ring.current = effective.signing_key(keys, now) or 0
 
     def load_config(self) -> None:
         """Merge sheet and overrides; an incomplete sheet changes nothing."""
-        sheet, parts = effective.sheet_parts(self.store)
-        if sheet is not None:
-            self.parts = parts
-        overrides = [
-            value
-            for value in self.store.under(objects.OVERRIDE_PREFIX).values()
-            if isinstance(value, objects.Override)
-        ]
         now = datetime.datetime.now(datetime.UTC)
-        self.effective = effective.merge(self.parts, overrides, now)
+        if self.base_version != self.store.sheet_version:
+            self.base = effective.prepare(self.store.sheet_parts())
+            self.base_version = self.store.sheet_version
+        overrides = effective.overrides_of(self.store)
+        self.effective = effective.merge(self.base, overrides, now)
         self.opener.config = self.effective
         self.homes.reassign(self.effective)
 
@@ -564,8 +564,9 @@
         now = anyio.current_time()
         self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
         self.domain_loads.update(message.domain, message.loads or [])
-        if message.config_digest != self.store.digest:
-            self.sync.note_behind(address)
+        self.sync.on_peer_digest(
+            address, message.config_revision, message.config_digest
+        )
         if message.reply_wanted:
             await self.send_to_peer(self.ping(reply_wanted=False), address)
 
@@ -642,9 +643,29 @@
 
     # Queries.
 
+    def observer(self) -> explaining.Observer:
+        """Return what queries look at."""
+        return explaining.Observer(
+            self.store, self.effective, self.members, self.homes.homes
+        )
+
+    def explain(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
+        """Return why a target gets or does not get new flows."""
+        return explaining.explain(
+            self.observer(),
+            parameters.get("service", ""),
+            parameters.get("target", ""),
+            datetime.datetime.now(datetime.UTC),
+        )
+
     def status(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
-        """Return what this host knows of itself and its domain."""
-        del parameters
+        """Return what this host knows of itself and its domain.
+
+        ``objects`` is a comma-separated list of objects whose versions in force
+        are wanted.
+        """
+        wanted = [name for name in parameters.get("objects", "").split(",") if name]
+        observer = self.observer()
         view = self.members.view
         return {
             "host": self.members.me.host,
@@ -655,6 +676,10 @@
             "leaving": self.members.leaving,
             "revision": self.store.revision,
             "digest": self.store.digest,
+            "configuration": explaining.configuration(observer, wanted),
+            "platform_lost_at": self.sync.platform_lost_at,
+            "targets": explaining.notable_targets(observer),
+            "directory": explaining.directory(self.store),
             "members": [m.host for m in view.members] if view is not None else [],
             "peers": {
                 name: {
@@ -688,6 +713,7 @@
         while True:
             await anyio.sleep(UPKEEP_S)
             self.opener.forget()
+            self.load_keys()
             expiry = self.effective.next_expiry_s
             if expiry is not None and expiry <= clock.unix_s():
                 self.load_config()
@@ -701,7 +727,9 @@
         calls = await anyio.create_tcp_listener(
             local_host=calls_address[0], local_port=calls_address[1]
         )
-        application = admin.application({"status": self.status}, lambda: True)
+        application = admin.application(
+            {"status": self.status, "explain": self.explain}, lambda: True
+        )
         async with self.platform, anyio.create_task_group() as tasks:
             self.homes.tasks = tasks
             tasks.start_soon(self.serve_callers)
--- a/lab/policyrig.py
+++ b/lab/policyrig.py
@@ -423,7 +423,7 @@
         """Start the home of a target at a host."""
         host = self.hosts[name]
         service = self.config.services[SERVICE]
-        entry = home.Home(target, service, host.context)
+        entry = home.Home(target, service, host.context, name)
         host.own.homes[target.id] = entry
         self.homes[target.id] = entry
         self.host_of[target.id] = name
