--- /dev/null
+++ b/basilgate/burnplots.py
@@ -0,0 +1,169 @@
+"""Plots of the burn report, as SVG text."""
+
+import collections.abc
+import datetime
+import io
+import typing
+
+import matplotlib
+import matplotlib.dates
+import matplotlib.figure
+
+from basilgate import burnrates, burntext
+
+# Okabe-Ito colours, which readers with colour-blindness tell apart.
+COLOURS = ("#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9", "#000000")
+DASHES = ("solid", "dashed", "dotted", "dashdot")
+# More lines in one plot cannot be told apart; the worst ones are shown.
+MAX_CURVES = 8
+MAX_BARS = 12
+WIDTH_IN = 9.5
+HEIGHT_IN = 3.4
+
+
+def to_svg(figure: typing.Any) -> str:
+    """Return a figure as an SVG element."""
+    buffer = io.StringIO()
+    # Text stays text, so that a reader can select it.
+    style = {"svg.fonttype": "none", "svg.hashsalt": "basilgate"}
+    with matplotlib.rc_context(style):
+        figure.savefig(buffer, format="svg", metadata={"Date": None})
+    text = buffer.getvalue()
+    return text[text.index("<svg") :]
+
+
+def new_figure(height_in: float = HEIGHT_IN) -> tuple[typing.Any, typing.Any]:
+    """Return a figure and its axes."""
+    figure = matplotlib.figure.Figure(
+        figsize=(WIDTH_IN, height_in), layout="constrained"
+    )
+    axes = figure.subplots()
+    axes.spines[["top", "right"]].set_visible(False)
+    axes.grid(axis="y", color="#dddddd", linewidth=0.7)
+    axes.set_axisbelow(True)
+    return figure, axes
+
+
+def worst(
+    curves: collections.abc.Mapping[str, list[float | None]], largest: bool
+) -> list[str]:
+    """Return the services to plot, at most `MAX_CURVES`."""
+
+    def key(name: str) -> float:
+        known = [value for value in curves[name] if value is not None]
+        if not known:
+            return float("inf")
+        return -max(known) if largest else min(known)
+
+    found = [name for name in curves if any(v is not None for v in curves[name])]
+    return sorted(sorted(found, key=key)[:MAX_CURVES])
+
+
+def draw_curves(
+    axes: typing.Any,
+    times_s: list[float],
+    curves: collections.abc.Mapping[str, list[float | None]],
+    names: list[str],
+    scale: float = 1.0,
+) -> None:
+    """Draw one line for each service over the time in UTC."""
+    times = [datetime.datetime.fromtimestamp(t, datetime.UTC) for t in times_s]
+    for number, name in enumerate(names):
+        values = [float("nan") if v is None else v * scale for v in curves[name]]
+        axes.plot(
+            times,
+            values,
+            label=name,
+            color=COLOURS[number % len(COLOURS)],
+            linestyle=DASHES[number % len(DASHES)],
+            linewidth=1.8,
+        )
+    locator = matplotlib.dates.AutoDateLocator(tz=datetime.UTC)
+    axes.xaxis.set_major_locator(locator)
+    axes.xaxis.set_major_formatter(
+        matplotlib.dates.ConciseDateFormatter(locator, tz=datetime.UTC)
+    )
+    axes.set_xlabel("time (UTC)")
+    if names:
+        axes.legend(loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False)
+
+
+def plot_burn(
+    report: burnrates.Report, thresholds: collections.abc.Mapping[str, float]
+) -> str:
+    """Return the plot of burn rates over time with the alert thresholds."""
+    figure, axes = new_figure()
+    names = worst(report.curves, largest=True)
+    draw_curves(axes, report.times_s, report.curves, names)
+    window = burntext.window_name(min(report.windows_s))
+    axes.set_ylabel(f"burn rate over {window}")
+    # Burn rates span decades; the part below 1 stays linear and shows zero.
+    axes.set_yscale("symlog", linthresh=1.0)
+    axes.yaxis.set_major_formatter(lambda value, _: f"{value:g}")
+    axes.set_ylim(bottom=0)
+    for name, threshold in thresholds.items():
+        axes.axhline(threshold, color="#999999", linewidth=1, linestyle=(0, (2, 2)))
+        axes.annotate(
+            f"{name} {threshold:g}",
+            (0.005, threshold),
+            xycoords=("axes fraction", "data"),
+            textcoords="offset points",
+            xytext=(0, 2),
+            fontsize=8,
+            color="#666666",
+        )
+    return to_svg(figure)
+
+
+def plot_budget(report: burnrates.Report) -> str:
+    """Return the plot of the budget left over time."""
+    figure, axes = new_figure()
+    names = worst(report.budgets, largest=False)
+    draw_curves(axes, report.times_s, report.budgets, names, scale=100)
+    axes.set_ylabel("error budget left (%)")
+    low, _ = axes.get_ylim()
+    axes.set_ylim(min(low, 0), 105)
+    axes.axhline(0, color="#333333", linewidth=1)
+    return to_svg(figure)
+
+
+def plot_reasons(report: burnrates.Report) -> str:
+    """Return bars of the errors by outcome and reason, stacked by service."""
+    by_outcome: dict[str, dict[str, float]] = {}
+    for line in report.lines:
+        if line.work_class == burnrates.ALL_CLASSES:
+            for outcome, count in line.tally.bad.items():
+                by_outcome.setdefault(outcome, {})[line.service] = count
+    order = sorted(by_outcome, key=lambda name: sum(by_outcome[name].values()))
+    shown = order[-MAX_BARS:]
+    figure, axes = new_figure(max(1.4, 0.8 + 0.32 * len(shown)))
+    axes.grid(visible=False, axis="y")
+    axes.grid(axis="x", color="#dddddd", linewidth=0.7)
+    left = dict.fromkeys(shown, 0.0)
+    services = sorted({name for outcome in shown for name in by_outcome[outcome]})
+    for number, service in enumerate(services):
+        counts = [by_outcome[outcome].get(service, 0.0) for outcome in shown]
+        axes.barh(
+            shown,
+            counts,
+            left=[left[outcome] for outcome in shown],
+            label=service,
+            color=COLOURS[number % len(COLOURS)],
+            height=0.65,
+        )
+        for outcome, count in zip(shown, counts, strict=True):
+            left[outcome] += count
+    for outcome in shown:
+        axes.annotate(
+            f"{left[outcome]:.0f}",
+            (left[outcome], outcome),
+            textcoords="offset points",
+            xytext=(4, 0),
+            va="center",
+            fontsize=9,
+        )
+    axes.set_xlabel("requests that count against the objective, whole budget period")
+    axes.margins(x=0.08)
+    if services:
+        axes.legend(loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False)
+    return to_svg(figure)
--- /dev/null
+++ b/basilgate/burntext.py
@@ -0,0 +1,136 @@
+"""Burn report as text and as JSON."""
+
+import collections.abc
+import dataclasses
+import datetime
+import json
+import typing
+
+from basilgate import burnrates
+
+DAY_S = 86_400
+HOUR_S = 3_600
+MINUTE_S = 60
+
+
+def window_name(length_s: float) -> str:
+    """Return the length of a window in its largest whole unit, such as ``6 h``."""
+    for unit_s, unit in ((DAY_S, "d"), (HOUR_S, "h"), (MINUTE_S, "min")):
+        if length_s >= unit_s and length_s % unit_s == 0:
+            return f"{length_s / unit_s:.0f} {unit}"
+    return f"{length_s:g} s"
+
+
+def moment(time_s: float) -> str:
+    """Return a Unix time in UTC, to the second."""
+    found = datetime.datetime.fromtimestamp(time_s, datetime.UTC)
+    return found.strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+def number(value: float | None) -> str:
+    """Return a burn rate, or a dash where there were no requests."""
+    return "-" if value is None else f"{value:.2f}"
+
+
+def percent(value: float | None) -> str:
+    """Return a share in percent, or a dash where there were no requests."""
+    return "-" if value is None else f"{100 * value:.1f}%"
+
+
+def table(
+    head: collections.abc.Sequence[str],
+    rows: collections.abc.Sequence[collections.abc.Sequence[str]],
+) -> list[str]:
+    """Return lines with aligned columns; the first two are left-aligned."""
+    widths = [max(len(row[n]) for row in [head, *rows]) for n in range(len(head))]
+    lines = []
+    for row in [head, *rows]:
+        cells = [
+            cell.ljust(width) if n < 2 else cell.rjust(width)
+            for n, (cell, width) in enumerate(zip(row, widths, strict=True))
+        ]
+        lines.append("  ".join(cells).rstrip())
+    return lines
+
+
+def notes(report: burnrates.Report) -> list[str]:
+    """Return sentences on what limits the report."""
+    found = []
+    for host, (problem, rounds) in sorted(report.silent.items()):
+        times = "once" if rounds == 1 else f"{rounds} times"
+        found.append(f"{host} did not answer ({times}): {problem}")
+    for host, count in sorted(report.restarts.items()):
+        times = "once" if count == 1 else f"{count} times"
+        found.append(
+            f"{host} restarted {times}; requests between its last sample and the "
+            "restart are missing"
+        )
+    if report.without_requests:
+        found.append("No requests: " + ", ".join(report.without_requests))
+    covered = report.end_s - report.first_s
+    if covered < report.period_s:
+        found.append(
+            f"Samples cover {covered / HOUR_S:.1f} h of the budget period of "
+            f"{window_name(report.period_s)}"
+        )
+    return found
+
+
+def render_text(report: burnrates.Report) -> str:
+    """Return the report as text."""
+    head = ["service", "class", "requests", "errors"]
+    head += [window_name(length) for length in report.windows_s]
+    head += ["budget left"]
+    rows = [
+        [
+            line.service,
+            line.work_class,
+            f"{line.tally.total:.0f}",
+            f"{line.tally.errors:.0f}",
+            *(number(line.burns[length]) for length in report.windows_s),
+            percent(line.budget_left),
+        ]
+        for line in report.lines
+    ]
+    lines = [f"Burn of service-level objectives at {moment(report.end_s)}", ""]
+    lines += table(head, rows)
+    alerts = [
+        f"ALERT {alert.name}: {line.service} ({line.work_class}) burns at "
+        f"{alert.long_burn:.1f} and {alert.short_burn:.1f}, "
+        f"threshold {alert.threshold:g}"
+        for line in report.lines
+        for alert in line.alerts
+    ]
+    lines += ["", *(alerts or ["No alerts."])]
+    breakdown = [
+        [line.service, line.work_class, f"{count:.0f}", outcome]
+        for line in report.lines
+        if line.work_class != burnrates.ALL_CLASSES
+        for outcome, count in sorted(line.tally.bad.items(), key=lambda b: -b[1])
+    ]
+    if breakdown:
+        lines += ["", "Errors by outcome and reason"]
+        lines += table(["service", "class", "errors", "outcome"], breakdown)
+    told = notes(report)
+    if told:
+        lines += ["", *told]
+    return "\n".join(lines) + "\n"
+
+
+def as_data(report: burnrates.Report) -> dict[str, typing.Any]:
+    """Return the report as plain data; times are Unix time in seconds."""
+    data = dataclasses.asdict(report)
+    for line, shown in zip(report.lines, data["lines"], strict=True):
+        shown["tally"] |= {"total": line.tally.total, "errors": line.tally.errors}
+        shown["objective"] = line.objective.model_dump()
+        shown["burns"] = {f"{length:g}": burn for length, burn in line.burns.items()}
+    data["silent"] = {
+        host: {"problem": problem, "rounds": rounds}
+        for host, (problem, rounds) in report.silent.items()
+    }
+    return data
+
+
+def render_json(report: burnrates.Report) -> str:
+    """Return the report as JSON text."""
+    return json.dumps(as_data(report), indent=2) + "\n"
--- a/basilgate/settings.py
+++ b/basilgate/settings.py
@@ -151,10 +151,16 @@
         return result.Failure(describe(error))
 
 
+def read(path: pathlib.Path) -> result.Result[str, str]:
+    """Return the text of a settings file, or one line that says what is wrong."""
+    try:
+        return result.Success(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return result.Failure(f"cannot read settings: {error.strerror}")
+    except UnicodeDecodeError:
+        return result.Failure("cannot read settings: not UTF-8 text")
+
+
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
     """Return the settings in an INI file, or one line that says what is wrong."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return result.Failure(f"cannot read settings: {error}")
-    return parse(text)
+    return read(path).bind(parse)
