Add gauges of homes, lease, queue, event loop, and process; make /health meaningful

/health answered 200 whatever the state of the host. It now needs membership, a configuration, and an event loop that keeps up, and answers 503 while leaving. Counters on the packet path no longer serialise their labels.

--- a/basilgate/admin.py
+++ b/basilgate/admin.py
@@ -17,7 +17,8 @@
 
 def application(
     queries: collections.abc.Mapping[str, Query],
-    is_healthy: collections.abc.Callable[[], bool],
+    health: collections.abc.Callable[[], dict[str, typing.Any]],
+    refresh: collections.abc.Callable[[], None],
 ) -> starlette.applications.Starlette:
     """Return the application.
 
@@ -25,13 +26,17 @@
     ----------
     queries : mapping
         Functions that answer ``GET /<name>`` from its query parameters.
-    is_healthy : callable
-        Whether this host serves; `/health` answers 200 or 503.
+    health : callable
+        Returns the answer of `/health`; its status is 200 if ``healthy`` is true
+        and 503 otherwise.
+    refresh : callable
+        Brings the gauges up to date before `/metrics` answers.
     """
 
     async def serve_metrics(
         request: starlette.requests.Request,
     ) -> starlette.responses.Response:
+        refresh()
         accepts = request.headers.getlist("accept")
         content, headers = aioprometheus.renderer.render(metrics.REGISTRY, accepts)
         return starlette.responses.Response(content, headers=headers)
@@ -40,9 +45,9 @@
         request: starlette.requests.Request,
     ) -> starlette.responses.Response:
         del request
-        healthy = is_healthy()
+        answer = health()
         return starlette.responses.JSONResponse(
-            {"healthy": healthy}, status_code=200 if healthy else 503
+            answer, status_code=200 if answer["healthy"] else 503
         )
 
     def endpoint(query: Query) -> typing.Any:
--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -22,6 +22,7 @@
     datagrams,
     effective,
     errors,
+    gauges,
     home,
     homes,
     logs,
@@ -52,6 +53,8 @@
 PING_INTERVAL_S = 1.0
 DOMAIN_UNREACHABLE_S = 3.0
 STOP_POLL_S = 0.1
+# Peers hold a host that is silent for longer for dead.
+LOOP_LAG_LIMIT_S = membership.DEAD_AFTER_INTERVAL_S
 
 
 class Balancer:
@@ -132,6 +135,7 @@
             config.platform.watch_timeout_s,
         )
         self.store.subscribe(self.on_object)
+        self.clock = gauges.LoopClock()
         # Monotonic time until which each other domain counts as reachable.
         self.reachable_until: dict[str, float] = {}
 
@@ -574,6 +578,21 @@
             },
         }
 
+    def health(self) -> dict[str, typing.Any]:
+        """Return whether this host serves, and what speaks against it."""
+        lag_s = self.clock.lag_s()
+        checks = {
+            "member": self.members.is_member(),
+            "configured": bool(self.effective.services and self.ring.keys),
+            "loop_alive": lag_s < LOOP_LAG_LIMIT_S,
+            "staying": not self.members.leaving,
+        }
+        return {"healthy": all(checks.values()), **checks, "loop_lag_s": lag_s}
+
+    def refresh_metrics(self) -> None:
+        """Bring the gauges up to date."""
+        gauges.refresh(self.members, self.homes, self.effective, self.clock)
+
     # Life.
 
     async def upkeep(self) -> None:
@@ -594,7 +613,9 @@
         calls = await anyio.create_tcp_listener(
             local_host=calls_address[0], local_port=calls_address[1]
         )
-        application = admin.application({"status": self.status}, lambda: True)
+        application = admin.application(
+            {"status": self.status}, self.health, self.refresh_metrics
+        )
         async with self.platform, anyio.create_task_group() as tasks:
             self.homes.tasks = tasks
             tasks.start_soon(self.serve_callers)
@@ -607,6 +628,7 @@
             tasks.start_soon(self.members.run)
             tasks.start_soon(self.ping_domains)
             tasks.start_soon(self.upkeep)
+            tasks.start_soon(self.clock.run)
             logs.event(LOGGER.info, "started", incarnation=self.members.me.incarnation)
             await wait_for_signal()
             await self.stop()
--- /dev/null
+++ b/basilgate/gauges.py
@@ -0,0 +1,115 @@
+"""Gauges of the state of a balancer, and the delay of its event loop."""
+
+import collections
+import collections.abc
+import os
+import pathlib
+import time
+import typing
+
+import anyio
+
+from basilgate import effective, home, homes, membership, metrics, wire
+
+STATM = pathlib.Path("/proc/self/statm")
+STARTED_S = time.time()
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+TICK_S = 0.1
+# Lag is reported for this time, so that a scrape every few seconds sees it.
+LAG_KEPT_S = 10.0
+
+STATES = ("serving", "awaiting_handover", "takeover_wait", "no_lease", "departing")
+
+
+class LoopClock:
+    """Measures how late the event loop runs what is due."""
+
+    def __init__(self) -> None:
+        self.due_at = anyio.current_time()
+        # Monotonic time and lag in seconds of the ticks within `LAG_KEPT_S`.
+        self.lags: collections.deque[tuple[float, float]] = collections.deque()
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            self.due_at = anyio.current_time() + TICK_S
+            await anyio.sleep(TICK_S)
+            now = anyio.current_time()
+            lag = max(0.0, now - self.due_at)
+            # An earlier, smaller lag cannot be the longest one again.
+            while self.lags and self.lags[-1][1] <= lag:
+                self.lags.pop()
+            self.lags.append((now, lag))
+
+    def lag_s(self) -> float:
+        """Return the longest lag in the last seconds, the present one included."""
+        now = anyio.current_time()
+        while self.lags and self.lags[0][0] < now - LAG_KEPT_S:
+            self.lags.popleft()
+        longest = self.lags[0][1] if self.lags else 0.0
+        return max(longest, now - self.due_at)
+
+
+def state_of(entry: home.Home) -> str:
+    """Return the name of the state of a home, one of `STATES`."""
+    if entry.handed_over_to:
+        return "departing"
+    if entry.awaiting_from:
+        return "awaiting_handover"
+    if anyio.current_time() < entry.authority_at:
+        return "takeover_wait"
+    return "serving" if entry.has_authority() else "no_lease"
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    return int(STATM.read_text(encoding="ascii").split()[1]) * PAGE_BYTES
+
+
+def refresh(
+    members: membership.Membership,
+    targets: homes.Homes,
+    config: effective.EffectiveConfig,
+    clock: LoopClock,
+) -> None:
+    """Bring all gauges up to date; a service without homes here reads 0."""
+    lease_left_s = members.lease_until() - anyio.current_time()
+    metrics.LEASE_LEFT.set({}, max(0.0, lease_left_s))
+    departing = [entry for group in targets.departing.values() for entry in group]
+    entries = [*targets.homes.values(), *departing]
+    states = collections.Counter(state_of(entry) for entry in targets.homes.values())
+    states["departing"] += len(departing)
+    for state in STATES:
+        metrics.HOMES.set({"state": state}, states[state])
+    names = [service.name for service in config.services.values()]
+    set_sums(metrics.RUNNING, names, entries, lambda entry: len(entry.running))
+    set_sums(metrics.FLOWS, names, entries, lambda entry: len(entry.flows))
+    set_sums(metrics.BUFFERED, names, entries, lambda entry: entry.buffered_bytes)
+    queued = collections.Counter(
+        (entry.service.name, waiting.work_class)
+        for entry in entries
+        for waiting in entry.queue.waiting()
+    )
+    for name in names:
+        for work_class in wire.WorkClass:
+            labels = {"service": name, "work_class": work_class.name.lower()}
+            metrics.QUEUED.set(labels, queued[(name, work_class)])
+    metrics.LOOP_LAG.set({}, clock.lag_s())
+    metrics.RESIDENT.set({}, resident_bytes())
+    metrics.CPU.set({}, time.process_time())
+    metrics.START_TIME.set({}, STARTED_S)
+
+
+def set_sums(
+    gauge: typing.Any,
+    names: list[str],
+    entries: list[home.Home],
+    measure: collections.abc.Callable[[home.Home], int],
+) -> None:
+    """Set a gauge to the sum over the homes of each service."""
+    sums: collections.Counter[str] = collections.Counter()
+    for entry in entries:
+        sums[entry.service.name] += measure(entry)
+    for name in names:
+        gauge.set({"service": name}, sums[name])
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -422,6 +422,8 @@
             chosen.state = RecordState.RUNNING
             chosen.started_at = anyio.current_time()
             self.running[chosen.key] = chosen
+            waited_s = chosen.started_at - chosen.arrived_at
+            metrics.QUEUE_TIME.observe(self.labels(chosen), waited_s)
         return chosen
 
     def slots_in_use(self) -> int:
@@ -545,15 +547,19 @@
         if self.handed_over_to:
             await self.context.report(self, record)
 
+    def labels(self, record: Record) -> dict[str, str]:
+        """Return the labels of a request in the metrics."""
+        return {
+            "service": self.service.name,
+            "work_class": record.work_class.name.lower(),
+        }
+
     def count(self, record: Record) -> None:
         """Count an ended request in the metrics."""
         outcome = record.state.name.lower()
         if record.reason is not reasons.Reason.NONE:
             outcome += ":" + reasons.label(record.reason)
-        labels = {
-            "service": self.service.name,
-            "work_class": record.work_class.name.lower(),
-        }
+        labels = self.labels(record)
         metrics.REQUESTS.inc({**labels, "outcome": outcome})
         if record.state is RecordState.ANSWERED:
             metrics.LATENCY.observe(labels, anyio.current_time() - record.arrived_at)
--- a/basilgate/metrics.py
+++ b/basilgate/metrics.py
@@ -1,4 +1,10 @@
-"""Metrics of a balancer, exported by aioprometheus."""
+"""Metrics of a balancer, exported by aioprometheus.
+
+docs/metrics.md lists them; a test compares it with this module.
+"""
+
+import collections.abc
+import typing
 
 import aioprometheus
 
@@ -6,10 +12,72 @@
 
 LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0]
 
+Labels = collections.abc.Mapping[str, str]
+Key = tuple[tuple[str, str], ...]
+
+
+class FastCounter(aioprometheus.Counter):
+    """Counter for the packet path.
+
+    aioprometheus serialises the labels to JSON twice for each increment. This one
+    counts in a dictionary and brings the labels into order when it is read.
+    """
+
+    def __init__(self, *arguments: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*arguments, **options)
+        self.counts: dict[Key, float] = {}
+
+    def inc(self, labels: Labels) -> None:
+        """Increment the counter by 1."""
+        key = tuple(labels.items())
+        self.counts[key] = self.counts.get(key, 0) + 1
+
+    def add(self, labels: Labels, value: float) -> None:
+        """Add to the counter.
+
+        Raises
+        ------
+        ValueError
+            If the value is negative.
+        """
+        if value < 0:
+            raise ValueError("counters do not decrease")
+        key = tuple(labels.items())
+        self.counts[key] = self.counts.get(key, 0) + value
+
+    def set_value(self, labels: Labels, value: float) -> None:
+        """Set the counter to a value."""
+        ordered = sorted(labels.items())
+        for key in [key for key in self.counts if sorted(key) == ordered]:
+            del self.counts[key]
+        self.counts[tuple(ordered)] = value
+
+    def get_value(self, labels: Labels) -> float:
+        """Return the value for the labels.
+
+        Raises
+        ------
+        KeyError
+            If nothing was counted with them.
+        """
+        return self.merged()[tuple(sorted(labels.items()))]
+
+    def get_all(self) -> list[tuple[dict[str, str], float]]:
+        """Return the labels and the value of each series."""
+        return [(dict(key), value) for key, value in self.merged().items()]
+
+    def merged(self) -> dict[Key, float]:
+        """Return the counts with the labels in order."""
+        found: dict[Key, float] = {}
+        for key, value in self.counts.items():
+            ordered = tuple(sorted(key))
+            found[ordered] = found.get(ordered, 0) + value
+        return found
+
 
 def counter(name: str, documentation: str) -> aioprometheus.Counter:
     """Return a counter in this module's registry."""
-    return aioprometheus.Counter(f"basilgate_{name}", documentation, registry=REGISTRY)
+    return FastCounter(f"basilgate_{name}", documentation, registry=REGISTRY)
 
 
 def gauge(name: str, documentation: str) -> aioprometheus.Gauge:
@@ -17,21 +85,38 @@
     return aioprometheus.Gauge(f"basilgate_{name}", documentation, registry=REGISTRY)
 
 
+def histogram(name: str, documentation: str) -> aioprometheus.Histogram:
+    """Return a histogram of seconds in this module's registry."""
+    return aioprometheus.Histogram(
+        f"basilgate_{name}",
+        documentation,
+        registry=REGISTRY,
+        buckets=LATENCY_BUCKETS_S,
+    )
+
+
+def total(metric: aioprometheus.Counter) -> float:
+    """Return the sum over all labels of a counter."""
+    return float(sum(value for _, value in metric.get_all()))
+
+
 INVARIANT_VIOLATIONS = counter(
     "invariant_violations_total", "Broken invariants, by invariant"
 )
 DROPPED = counter("dropped_datagrams_total", "Datagrams dropped, by reason")
 FRAMES = counter("frames_total", "Frames received from callers, by kind")
-RELAYED = counter("relayed_total", "Frames passed to another balancer, by kind")
+RELAYED = counter("relayed_total", "Frames passed to another balancer")
 OPENS = counter("opens_total", "Opens, by service and outcome")
 REQUESTS = counter(
     "requests_total", "Finished requests, by service, work class, and outcome"
 )
-LATENCY = aioprometheus.Histogram(
-    "basilgate_request_seconds",
+LATENCY = histogram(
+    "request_seconds",
     "Time from arrival at the home to the outcome, by service and work class",
-    registry=REGISTRY,
-    buckets=LATENCY_BUCKETS_S,
+)
+QUEUE_TIME = histogram(
+    "queue_seconds",
+    "Time from arrival at the home to the slot, by service and work class",
 )
 FORWARDED = counter("forwarded_requests_total", "Requests sent to targets, by service")
 RETRIES = counter("retries_total", "Retries at another target, by service")
@@ -41,6 +126,10 @@
 CONTROL_MESSAGES = counter(
     "control_messages_total", "Control messages, by direction and message"
 )
+CONTROL_CPU = counter(
+    "control_cpu_seconds_total",
+    "Processor time of encoding, decoding, and applying control messages",
+)
 PLATFORM_CALLS = counter("platform_calls_total", "Calls to the platform, by outcome")
 VIEW_EPOCH = gauge("view_epoch", "Epoch of the adopted domain view")
 CONFIG_REVISION = gauge("config_revision", "Newest platform revision applied")
@@ -48,3 +137,20 @@
     "reverts_refused_total", "Objects refused because a newer version is held"
 )
 HANDOVERS = counter("handovers_total", "Changes of home, by direction and outcome")
+REFUSED_CONNECTIONS = counter(
+    "refused_connections_total", "TLS connections refused, by listener and reason"
+)
+
+# Set when the metrics are read.
+LEASE_LEFT = gauge("lease_left_seconds", "Time left of the lease, 0 without one")
+HOMES = gauge("homes", "Targets that this host is home for, by state")
+QUEUED = gauge("queued_requests", "Requests that wait, by service and work class")
+RUNNING = gauge("running_requests", "Requests at targets, by service")
+FLOWS = gauge("open_flows", "Flows known at their home, by service")
+BUFFERED = gauge("buffered_answer_bytes", "Answer bytes kept for callers, by service")
+LOOP_LAG = gauge(
+    "event_loop_lag_seconds", "Longest delay of the event loop in the last 10 s"
+)
+RESIDENT = gauge("resident_memory_bytes", "Resident memory of the process")
+CPU = counter("cpu_seconds_total", "Processor time of the process")
+START_TIME = gauge("start_time_seconds", "Start of the process in Unix time")
