--- a/basilgate/admin.py
+++ b/basilgate/admin.py
@@ -1,6 +1,7 @@
 """HTTP interface of a balancer: metrics, health, status, and explanations."""
 
 import collections.abc
+import ssl
 import typing
 
 import aioprometheus.renderer
@@ -80,9 +81,11 @@
 
 
 async def serve(
-    app: starlette.applications.Starlette, address: tuple[str, int]
+    app: starlette.applications.Starlette,
+    address: tuple[str, int],
+    context: ssl.SSLContext | None = None,
 ) -> None:
-    """Serve the application until cancelled."""
+    """Serve the application until cancelled, with TLS if there is a context."""
     config = uvicorn.Config(
         app,
         host=address[0],
@@ -91,4 +94,7 @@
         access_log=False,
         lifespan="off",
     )
+    # uvicorn would load the files once more, without a hook for refused peers.
+    config.load()
+    config.ssl = context
     await Server(config).serve()
--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -3,6 +3,7 @@
 import datetime
 import pathlib
 import random
+import secrets
 import signal
 import sys
 import time
@@ -39,6 +40,7 @@
     rendezvous,
     replica,
     settings,
+    tls,
     tokens,
     wire,
 )
@@ -51,6 +53,8 @@
 
 UPKEEP_S = 1.0
 PING_INTERVAL_S = 1.0
+# The lifetime of a datagram in the fabric, and twice the bound of clock skew.
+PING_LIFETIME_S = home.DATAGRAM_LIFETIME_S + 2 * membership.CLOCK_SKEW_S
 DOMAIN_UNREACHABLE_S = 3.0
 STOP_POLL_S = 0.1
 # Peers hold a host that is silent for longer for dead.
@@ -75,7 +79,9 @@
     ) -> None:
         self.settings = config
         self.socket_factory = socket_factory
-        self.codec = peering.Codec(bytes.fromhex(config.peers.secret))
+        self.codec = peering.Codec(
+            bytes.fromhex(config.peers.secret), tls.calling(config.tls)
+        )
         self.ring = tokens.KeyRing()
         self.store = replica.Replica()
         self.effective = effective.EffectiveConfig()
@@ -136,6 +142,9 @@
         )
         self.store.subscribe(self.on_object)
         self.clock = gauges.LoopClock()
+        self.peers_context = peering.context_of(
+            settings.split_address(config.listen.peers)
+        )
         # Monotonic time until which each other domain counts as reachable.
         self.reachable_until: dict[str, float] = {}
 
@@ -443,13 +452,15 @@
 
     async def on_control(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Handle a control message that came as a datagram."""
-        decoded = self.codec.decode(datagram)
+        decoded = self.codec.decode(datagram, self.peers_context)
         if isinstance(decoded, result.Failure):
             drop(decoded.failure())
             return
         field, message = decoded.unwrap()
         if field == "heartbeat":
+            started_s = time.thread_time()
             refused = self.members.on_heartbeat(message, address)
+            metrics.CONTROL_CPU.add({}, time.thread_time() - started_s)
             if refused is not None:
                 drop(refused)
                 return
@@ -463,14 +474,17 @@
 
     async def on_ping(self, message: typing.Any, address: tuple[str, int]) -> None:
         """Note that another domain is reachable, and answer."""
+        if abs(time.time() - message.sent_ms / 1000) > PING_LIFETIME_S:
+            drop(reasons.Reason.STALE)
+            return
         now = anyio.current_time()
         self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
         if message.config_digest != self.store.digest:
             self.sync.behind.add(address)
         if message.reply_wanted:
-            await self.send_to_peer(self.ping(reply_wanted=False), address)
+            await self.send_to_peer(self.ping(address, reply_wanted=False), address)
 
-    def ping(self, reply_wanted: bool) -> bytes:
+    def ping(self, address: tuple[str, int], reply_wanted: bool) -> bytes:
         """Return a ping to another failure domain."""
         message = ttypes.DomainPing(
             self.members.me.host,
@@ -479,8 +493,10 @@
             self.store.revision,
             self.store.digest,
             reply_wanted,
+            sent_ms=home.now_ms(),
         )
-        return self.codec.encode("domain_ping", message)
+        context = peering.context_of(address)
+        return self.codec.encode("domain_ping", message, context)
 
     async def ping_domains(self) -> None:
         """Ping one random member of each other domain."""
@@ -491,7 +507,8 @@
                 if view.members:
                     member = self.rng.choice(view.members)
                     address = settings.split_address(member.peers)
-                    await self.send_to_peer(self.ping(reply_wanted=True), address)
+                    datagram = self.ping(address, reply_wanted=True)
+                    await self.send_to_peer(datagram, address)
             await anyio.sleep(PING_INTERVAL_S)
 
     def is_reachable(self, domain: str) -> bool:
@@ -500,18 +517,23 @@
             return True
         return self.reachable_until.get(domain, 0.0) > anyio.current_time()
 
-    async def serve_call(self, stream: anyio.abc.SocketStream) -> None:
+    async def serve_call(self, stream: anyio.abc.ByteStream) -> None:
         """Answer one call of a peer over TCP."""
         reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
         async with stream:
             with anyio.move_on_after(peering.CALL_TIMEOUT_S):
                 try:
-                    decoded = self.codec.decode(await peering.receive_stream(reader))
+                    challenge = secrets.token_bytes(peering.CHALLENGE_BYTES)
+                    await stream.send(challenge)
+                    decoded = self.codec.decode(
+                        await peering.receive_stream(reader), peering.CALL + challenge
+                    )
                     if isinstance(decoded, result.Failure):
                         drop(decoded.failure())
                         return
                     reply = await self.answer_call(*decoded.unwrap())
-                    await peering.send_stream(stream, self.codec.encode(*reply))
+                    answer = self.codec.encode(*reply, peering.REPLY + challenge)
+                    await peering.send_stream(stream, answer)
                 except (
                     OSError,
                     ValueError,
@@ -610,8 +632,11 @@
         self.callers = await self.socket_factory(settings.split_address(listen.callers))
         self.peers = await self.socket_factory(settings.split_address(listen.peers))
         calls_address = settings.split_address(listen.peers)
-        calls = await anyio.create_tcp_listener(
-            local_host=calls_address[0], local_port=calls_address[1]
+        calls = tls.listener(
+            await anyio.create_tcp_listener(
+                local_host=calls_address[0], local_port=calls_address[1]
+            ),
+            self.settings.tls,
         )
         application = admin.application(
             {"status": self.status}, self.health, self.refresh_metrics
@@ -622,7 +647,10 @@
             tasks.start_soon(self.serve_peers)
             tasks.start_soon(calls.serve, self.serve_call)
             tasks.start_soon(
-                admin.serve, application, settings.split_address(listen.admin)
+                admin.serve,
+                application,
+                settings.split_address(listen.admin),
+                tls.serving(self.settings.tls, "admin"),
             )
             tasks.start_soon(self.sync.run)
             tasks.start_soon(self.members.run)
@@ -685,6 +713,10 @@
         print(f"{settings_file}: {loaded.failure()}", file=sys.stderr)
         return 2
     config = loaded.unwrap()
+    wrong = tls.problem(config.tls)
+    if wrong:
+        print(f"{settings_file}: {wrong}", file=sys.stderr)
+        return 2
     logs.start(config.logging.level, host=config.host.name)
 
     async def run() -> None:
--- a/basilgate/burn.py
+++ b/basilgate/burn.py
@@ -8,6 +8,7 @@
 import anyio
 import fire
 import fire.decorators
+import pydantic
 from returns import result
 
 from basilgate import (
@@ -17,6 +18,7 @@
     burntext,
     errors,
     registry,
+    settings,
     tls,
 )
 
@@ -72,25 +74,47 @@
     return found
 
 
+def pem_files(certificate: str, key: str, ca: str) -> settings.TlsSection | None:
+    """Return the files for TLS, None if no CA is given.
+
+    Raises
+    ------
+    ValueError
+        If a file cannot be read.
+    """
+    if not ca:
+        return None
+    files = {"certificate": certificate, "key": key, "ca": ca}
+    try:
+        return settings.TlsSection.model_validate(files)
+    except pydantic.ValidationError as error:
+        found = error.errors()[0]
+        raise ValueError(f"--{found['loc'][0]}: {found['msg']}") from error
+
+
 async def collect_round(
     platform: str,
-    hosts: collections.abc.Mapping[str, str],
+    given: collections.abc.Mapping[str, str],
+    known: dict[str, str],
     context: ssl.SSLContext | None,
 ) -> list[burnsamples.Entry]:
     """Return the entries of one round.
 
+    `known` is set to the hosts of the platform's views and the given ones, and
+    used in later rounds while the platform does not answer.
+
     Raises
     ------
     errors.UsageError
         If no host is given and the platform does not answer.
     """
     entries: list[burnsamples.Entry] = []
-    known = dict(hosts)
     if platform:
         answer = await burnsamples.read_platform(platform)
         if isinstance(answer, result.Success):
             found, objectives = answer.unwrap()
-            known = {**found, **known}
+            known.clear()
+            known.update({**found, **given})
             entries.append(objectives)
         elif known:
             print(answer.failure(), file=sys.stderr)
@@ -108,12 +132,12 @@
     rounds: int,
     interval_s: float,
 ) -> None:
-    """Collect and append rounds of samples; hosts that stay known are kept."""
+    """Collect and append rounds of samples."""
     known = dict(hosts)
     for number in range(rounds):
         if number:
             await anyio.sleep(interval_s)
-        entries = await collect_round(platform, known, context)
+        entries = await collect_round(platform, hosts, known, context)
         await anyio.to_thread.run_sync(burnsamples.append, samples, entries)
         for entry in entries:
             if isinstance(entry, burnsamples.Silence):
@@ -152,7 +176,7 @@
         raise errors.UsageError("collect: give --platform or --hosts")
     try:
         count, pause_s = int(rounds), float(interval_s)
-        context = tls.client_context(certificate, key, ca) if ca else None
+        context = tls.calling(pem_files(certificate, key, ca))
         anyio.run(
             collect_rounds,
             pathlib.Path(samples),
@@ -167,29 +191,27 @@
 
 
 @fire.decorators.SetParseFn(str)
-def show(samples: str, settings: str = "", form: str = "text", out: str = "") -> None:
+def show(samples: str, config: str = "", form: str = "text", out: str = "") -> None:
     """Report on the samples.
 
     Parameters
     ----------
     samples : str
         Path of the sample file.
-    settings : str
+    config : str
         Path of an INI file with windows, alerts, and objectives.
     form : str
         ``text``, ``json``, or ``html``.
     out : str
         Path of the file to write; standard output if empty.
     """
-    config = load_settings(settings)
+    chosen = load_settings(config)
     loaded = burnsamples.read(pathlib.Path(samples))
     if isinstance(loaded, result.Failure):
         raise errors.UsageError(loaded.failure())
     try:
-        render = FORMATS.get(form)
-        text = render(
-            burnrates.report(burnrates.history(loaded.unwrap()), config), config
-        )
+        told = burnrates.history(loaded.unwrap())
+        text = FORMATS.get(form)(burnrates.report(told, chosen), chosen)
         if out:
             pathlib.Path(out).write_text(text, encoding="utf-8")
         else:
--- a/basilgate/burnhtml.py
+++ b/basilgate/burnhtml.py
@@ -93,7 +93,7 @@
         + cell(line.work_class, "name")
         + cell(outcome, "name")
         + cell(f"{count:,.0f}")
-        + cell(burntext.percent(count / line.tally.total))
+        + cell(f"{100 * count / line.tally.total:.2g}%")
         + "</tr>"
         for line in report.lines
         if line.work_class != burnrates.ALL_CLASSES
--- a/basilgate/burnplots.py
+++ b/basilgate/burnplots.py
@@ -122,13 +122,13 @@
     draw_curves(axes, report.times_s, report.budgets, names, scale=100)
     axes.set_ylabel("error budget left (%)")
     low, _ = axes.get_ylim()
-    axes.set_ylim(min(low, 0), 105)
+    axes.set_ylim(min(low, 0), 100)
     axes.axhline(0, color="#333333", linewidth=1)
     return to_svg(figure)
 
 
 def plot_reasons(report: burnrates.Report) -> str:
-    """Return bars of the errors by outcome and reason, stacked by service."""
+    """Return bars of the errors by outcome and reason; empty without errors."""
     by_outcome: dict[str, dict[str, float]] = {}
     for line in report.lines:
         if line.work_class == burnrates.ALL_CLASSES:
@@ -136,6 +136,8 @@
                 by_outcome.setdefault(outcome, {})[line.service] = count
     order = sorted(by_outcome, key=lambda name: sum(by_outcome[name].values()))
     shown = order[-MAX_BARS:]
+    if not shown:
+        return ""
     figure, axes = new_figure(max(1.4, 0.8 + 0.32 * len(shown)))
     axes.grid(visible=False, axis="y")
     axes.grid(axis="x", color="#dddddd", linewidth=0.7)
--- a/basilgate/burnrates.py
+++ b/basilgate/burnrates.py
@@ -6,6 +6,7 @@
 budget period.
 """
 
+import bisect
 import collections
 import collections.abc
 import dataclasses
@@ -16,6 +17,8 @@
 ANSWERED = "answered"
 TOO_SLOW = "answered:too_slow"
 ALL_CLASSES = "all"
+# Differences of cumulative counts below this are rounding errors.
+SMALLEST = 1e-6
 
 # Service and work class.
 Group = tuple[str, str]
@@ -58,12 +61,12 @@
         """Number of requests that count against the objective."""
         return sum(self.bad.values())
 
-    def add(self, other: "Tally") -> None:
-        """Add the counts of another tally."""
-        self.good += other.good
-        self.cancelled += other.cancelled
+    def add(self, other: "Tally", share: float = 1.0) -> None:
+        """Add a share of the counts of another tally."""
+        self.good += other.good * share
+        self.cancelled += other.cancelled * share
         for outcome, count in other.bad.items():
-            self.add_bad(outcome, count)
+            self.add_bad(outcome, count * share)
 
     def add_bad(self, outcome: str, count: float) -> None:
         """Add requests that count against the objective."""
@@ -89,7 +92,8 @@
     objectives: dict[str, burnsamples.Objective] = dataclasses.field(
         default_factory=dict
     )
-    hosts: set[str] = dataclasses.field(default_factory=set)
+    # Unix time of the newest sample of each host, 0 if there is none.
+    hosts: dict[str, float] = dataclasses.field(default_factory=dict)
     first_s: float = 0.0
     last_s: float = 0.0
 
@@ -137,11 +141,11 @@
         if isinstance(entry, burnsamples.Objectives):
             told.objectives = dict(entry.services)
         elif isinstance(entry, burnsamples.Silence):
-            told.hosts.add(entry.host)
+            told.hosts.setdefault(entry.host, 0.0)
             _, failures = told.silent.get(entry.host, ("", 0))
             told.silent[entry.host] = (entry.problem, failures + 1)
         else:
-            told.hosts.add(entry.host)
+            told.hosts[entry.host] = entry.time_s
             before = newest.get(entry.host)
             if before is None and entry.started_s > told.first_s:
                 # The whole life of this process lies within the file.
@@ -179,46 +183,97 @@
     return min(answered, interval.within[(*group, max(bounds))])
 
 
+def grade(
+    interval: Interval, objectives: collections.abc.Mapping[str, burnsamples.Objective]
+) -> dict[Group, Tally]:
+    """Return the counts of an interval by service and class.
+
+    Services without an objective are left out.
+    """
+    tallies: dict[Group, Tally] = collections.defaultdict(Tally)
+    for (service, work_class, outcome), count in interval.outcomes.items():
+        objective = objectives.get(service)
+        if objective is None or count <= 0:
+            continue
+        found = tallies[(service, work_class)]
+        if outcome == NOT_COUNTED:
+            found.cancelled += count
+        elif outcome != ANSWERED:
+            found.add_bad(outcome, count)
+        elif work_class == burnsamples.OPEN_CLASS:
+            found.good += count
+        else:
+            bound_s = objective.latency_ms / 1000
+            good = within_bound(interval, (service, work_class), bound_s, count)
+            found.good += good
+            if count > good:
+                found.add_bad(TOO_SLOW, count - good)
+    return add_totals(tallies)
+
+
+# An interval and its counts.
+Graded = tuple[Interval, dict[Group, Tally]]
+
+
 def tally(
-    intervals: collections.abc.Iterable[Interval],
-    objectives: collections.abc.Mapping[str, burnsamples.Objective],
-    start_s: float,
-    end_s: float,
+    graded: collections.abc.Iterable[Graded], start_s: float, end_s: float
 ) -> dict[Group, Tally]:
     """Return the counts of a window by service and class.
 
-    An interval that crosses the edge of the window counts in proportion. Services
-    without an objective are left out.
+    An interval that crosses the edge of the window counts in proportion.
     """
     tallies: dict[Group, Tally] = collections.defaultdict(Tally)
-    for interval in intervals:
+    for interval, counts in graded:
         share = interval.share(start_s, end_s)
-        if share <= 0:
-            continue
-        for (service, work_class, outcome), count in interval.outcomes.items():
-            objective = objectives.get(service)
-            if objective is None or count <= 0:
-                continue
-            found = tallies[(service, work_class)]
-            if outcome == NOT_COUNTED:
-                found.cancelled += count * share
-            elif outcome != ANSWERED:
-                found.add_bad(outcome, count * share)
-            elif work_class == burnsamples.OPEN_CLASS:
-                found.good += count * share
-            else:
-                good = within_bound(
-                    interval,
-                    (service, work_class),
-                    objective.latency_ms / 1000,
-                    count,
-                )
-                found.good += good * share
-                if count > good:
-                    found.add_bad(TOO_SLOW, (count - good) * share)
+        if share > 0:
+            for group, found in counts.items():
+                tallies[group].add(found, share)
     return dict(tallies)
 
 
+class Curve:
+    """Cumulative count over time, linear within each interval.
+
+    Parameters
+    ----------
+    parts : sequence of (float, float, float)
+        Start and end in Unix seconds, and the count, of each interval.
+    """
+
+    def __init__(
+        self, parts: collections.abc.Iterable[tuple[float, float, float]]
+    ) -> None:
+        slopes: dict[float, float] = collections.defaultdict(float)
+        for start_s, end_s, count in parts:
+            # Two samples at one time would have no slope.
+            end_s = max(end_s, start_s + 0.001)
+            slopes[start_s] += count / (end_s - start_s)
+            slopes[end_s] -= count / (end_s - start_s)
+        self.times_s = sorted(slopes)
+        self.values: list[float] = []
+        self.slopes: list[float] = []
+        value = slope = 0.0
+        before_s = self.times_s[0] if self.times_s else 0.0
+        for time_s in self.times_s:
+            value += slope * (time_s - before_s)
+            slope += slopes[time_s]
+            before_s = time_s
+            self.values.append(value)
+            self.slopes.append(slope)
+
+    def at(self, time_s: float) -> float:
+        """Return the count up to a time."""
+        index = bisect.bisect_right(self.times_s, time_s) - 1
+        if index < 0:
+            return 0.0
+        past_s = time_s - self.times_s[index]
+        return self.values[index] + self.slopes[index] * past_s
+
+    def within(self, start_s: float, end_s: float) -> float:
+        """Return the count in a window."""
+        return self.at(end_s) - self.at(start_s)
+
+
 def add_totals(tallies: dict[Group, Tally]) -> dict[Group, Tally]:
     """Return the tallies with one of all classes for each service."""
     totals: dict[Group, Tally] = dict(tallies)
@@ -265,7 +320,7 @@
     lines: list[Line]
     silent: dict[str, tuple[str, int]]
     restarts: dict[str, int]
-    hosts: list[str]
+    hosts: dict[str, float]
     without_requests: list[str]
     windows_s: list[float]
     # Times, and for each service its burn in the shortest window before them.
@@ -305,10 +360,8 @@
     lengths = {*config.report.windows_s, config.report.budget_period_s}
     for rule in config.alert.values():
         lengths |= {rule.long_s, rule.short_s}
-    windows = {
-        length: add_totals(tally(told.intervals, objectives, end_s - length, end_s))
-        for length in lengths
-    }
+    graded = [(interval, grade(interval, objectives)) for interval in told.intervals]
+    windows = {length: tally(graded, end_s - length, end_s) for length in lengths}
     period = windows[config.report.budget_period_s]
     lines = [
         Line(
@@ -328,7 +381,7 @@
         for group, found in sorted(period.items(), key=lambda item: order(item[0]))
     ]
     seen = {service for service, _ in period}
-    times_s, curves, budgets = trends(told, objectives, config)
+    times_s, curves, budgets = trends(told, graded, objectives, config)
     return Report(
         first_s=told.first_s,
         end_s=end_s,
@@ -336,7 +389,7 @@
         lines=lines,
         silent=told.silent,
         restarts=dict(told.restarts),
-        hosts=sorted(told.hosts),
+        hosts=dict(sorted(told.hosts.items())),
         without_requests=sorted(set(objectives) - seen),
         windows_s=list(config.report.windows_s),
         times_s=times_s,
@@ -353,6 +406,7 @@
 
 def trends(
     told: History,
+    graded: collections.abc.Sequence[Graded],
     objectives: collections.abc.Mapping[str, burnsamples.Objective],
     config: burnsettings.BurnSettings,
 ) -> tuple[list[float], dict[str, list[float | None]], dict[str, list[float | None]]]:
@@ -361,18 +415,32 @@
     start_s = max(told.first_s, told.last_s - config.report.budget_period_s)
     step_s = (told.last_s - start_s) / count
     times_s = [start_s + step_s * n for n in range(1, count + 1)] if step_s > 0 else []
-    curves: dict[str, list[float | None]] = {name: [] for name in sorted(objectives)}
-    budgets: dict[str, list[float | None]] = {name: [] for name in curves}
     short_s = min(config.report.windows_s)
     period_s = config.report.budget_period_s
-    for moment in times_s:
-        short = add_totals(tally(told.intervals, objectives, moment - short_s, moment))
-        period = add_totals(
-            tally(told.intervals, objectives, moment - period_s, moment)
-        )
-        for name, objective in objectives.items():
-            key = (name, ALL_CLASSES)
-            availability = objective.availability
-            curves[name].append(short.get(key, Tally()).burn(availability))
-            budgets[name].append(budget_left(period.get(key, Tally()), availability))
+    curves: dict[str, list[float | None]] = {}
+    budgets: dict[str, list[float | None]] = {}
+    for name, objective in sorted(objectives.items()):
+        parts = [
+            (interval.start_s, interval.end_s, counts[(name, ALL_CLASSES)])
+            for interval, counts in graded
+            if (name, ALL_CLASSES) in counts
+        ]
+        total = Curve((start, end, found.total) for start, end, found in parts)
+        bad = Curve((start, end, found.errors) for start, end, found in parts)
+
+        def burns(
+            length_s: float,
+            total: Curve = total,
+            bad: Curve = bad,
+            allowed: float = 1 - objective.availability,
+        ) -> list[float | None]:
+            found: list[float | None] = []
+            for moment in times_s:
+                count = total.within(moment - length_s, moment)
+                errors = max(0.0, bad.within(moment - length_s, moment))
+                found.append(errors / count / allowed if count > SMALLEST else None)
+            return found
+
+        curves[name] = burns(short_s)
+        budgets[name] = [None if b is None else 1 - b for b in burns(period_s)]
     return times_s, curves, budgets
--- a/basilgate/burntext.py
+++ b/basilgate/burntext.py
@@ -59,6 +59,13 @@
     for host, (problem, rounds) in sorted(report.silent.items()):
         times = "once" if rounds == 1 else f"{rounds} times"
         found.append(f"{host} did not answer ({times}): {problem}")
+    recent_s = min(report.windows_s)
+    for host, newest_s in report.hosts.items():
+        if newest_s and report.end_s - newest_s > recent_s:
+            found.append(
+                f"{host} gave no sample in the last {window_name(recent_s)}, the "
+                f"newest one at {moment(newest_s)}"
+            )
     for host, count in sorted(report.restarts.items()):
         times = "once" if count == 1 else f"{count} times"
         found.append(
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -330,10 +330,11 @@
         message = ttypes.ViewChanged(
             self.me.host, self.me.incarnation, peering.to_thrift(stored)
         )
-        datagram = self.codec.encode("view_changed", message)
-        if len(datagram) > peering.MAX_CONTROL_DATAGRAM_BYTES:
-            return
         for peer in list(self.peers.values()):
+            context = peering.context_of(peer.address)
+            datagram = self.codec.encode("view_changed", message, context)
+            if len(datagram) > peering.MAX_CONTROL_DATAGRAM_BYTES:
+                return
             await self.send(datagram, peer.address)
 
     # Tasks.
@@ -406,7 +407,9 @@
             loads=self.loads(),
             ended=[ttypes.EndedMember(host, inc) for host, inc in sorted(self.ended)],
         )
-        await self.send(self.codec.encode("heartbeat", message), peer.address)
+        context = peering.context_of(peer.address)
+        datagram = self.codec.encode("heartbeat", message, context)
+        await self.send(datagram, peer.address)
 
     async def remove(self, peer: Peer) -> None:
         """Write a view without a dead peer."""
@@ -466,13 +469,16 @@
         now = anyio.current_time()
         if message.echo_us > now * MICROSECONDS:
             return reasons.Reason.MALFORMED
+        if message.sent_us <= peer.newest_sent_us:
+            # A copy proves nothing about the present and must not delay removal.
+            return reasons.Reason.DUPLICATE
         pause = interval_s(len(self.peers) + 1)
         if peer.withheld and not peer.removal_pending:
             peer.withheld = False
             self.on_change()
         peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
         peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
-        peer.newest_sent_us = max(peer.newest_sent_us, message.sent_us)
+        peer.newest_sent_us = message.sent_us
         if message.epoch > peer.heard_epoch and self.tasks is not None:
             # An answer at once spares a new epoch the wait for the next interval.
             self.tasks.start_soon(self.send_heartbeat, peer)
--- a/basilgate/peering.py
+++ b/basilgate/peering.py
@@ -1,10 +1,14 @@
 """Control messages between balancers: encoding, authentication, and calls."""
 
 import dataclasses
+import functools
 import hashlib
 import hmac
+import ipaddress
 import json
+import ssl
 import struct
+import time
 import typing
 
 import anyio
@@ -28,6 +32,12 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 CALL_TIMEOUT_S = 3.0
 
+# A TCP connection starts with random bytes of the server. Both messages of the
+# call are bound to them, so that a recorded call cannot be played back.
+CHALLENGE_BYTES = 16
+CALL = b"call"
+REPLY = b"reply"
+
 PROTOCOL = thrift.protocol.TCompactProtocol.TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_MESSAGE_BYTES, container_length_limit=1_000_000
 )
@@ -47,35 +57,55 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Codec:
-    """Encodes and decodes messages under the secret shared by all balancers."""
+    """Encodes and decodes messages under the secret shared by all balancers.
+
+    `tls` is the context of the calls that this host makes, None without TLS.
+
+    A message is bound to a context, which its receiver knows: the address that a
+    datagram was sent to, or the challenge of a TCP connection. A message that
+    somebody recorded is of no use in another context.
+    """
 
     secret: bytes
+    tls: ssl.SSLContext | None = None
 
-    def mac(self, payload: bytes) -> bytes:
-        """Return the MAC of a payload."""
-        digest = hashlib.blake2b(payload, digest_size=MAC_BYTES, key=self.secret)
+    def mac(self, payload: bytes, context: bytes = b"") -> bytes:
+        """Return the MAC of a payload in its context."""
+        digest = hashlib.blake2b(context, digest_size=MAC_BYTES, key=self.secret)
+        digest.update(payload)
         return digest.digest()
 
-    def encode(self, field: str, message: typing.Any) -> bytes:
+    def encode(self, field: str, message: typing.Any, context: bytes = b"") -> bytes:
         """Return the datagram for one message."""
+        started_s = time.thread_time()
         payload: bytes = thrift.TSerialization.serialize(
             ttypes.Message(**{field: message}), PROTOCOL
         )
-        datagram = ENVELOPE.pack(CONTROL_MAGIC, self.mac(payload)) + payload
+        datagram = ENVELOPE.pack(CONTROL_MAGIC, self.mac(payload, context)) + payload
         count(field, "sent", len(datagram))
+        metrics.CONTROL_CPU.add({}, time.thread_time() - started_s)
         return datagram
 
     def decode(
-        self, datagram: bytes
+        self, datagram: bytes, context: bytes = b""
     ) -> result.Result[tuple[str, typing.Any], reasons.Reason]:
         """Return the field name and the message, or the reason to drop it."""
+        started_s = time.thread_time()
+        decoded = self.parse(datagram, context)
+        metrics.CONTROL_CPU.add({}, time.thread_time() - started_s)
+        return decoded
+
+    def parse(
+        self, datagram: bytes, context: bytes
+    ) -> result.Result[tuple[str, typing.Any], reasons.Reason]:
+        """Check and parse a datagram."""
         if len(datagram) < ENVELOPE.size:
             return result.Failure(reasons.Reason.TRUNCATED)
         magic, mac = ENVELOPE.unpack_from(datagram)
         payload = datagram[ENVELOPE.size :]
         if magic != CONTROL_MAGIC:
             return result.Failure(reasons.Reason.MALFORMED)
-        if not hmac.compare_digest(mac, self.mac(payload)):
+        if not hmac.compare_digest(mac, self.mac(payload, context)):
             return result.Failure(reasons.Reason.BAD_MAC)
         try:
             union = thrift.TSerialization.deserialize(
@@ -101,6 +131,13 @@
         return result.Success((present[0], message))
 
 
+@functools.lru_cache(maxsize=4_096)
+def context_of(address: tuple[str, int]) -> bytes:
+    """Return the context of a datagram to `address`."""
+    host, port = address
+    return ipaddress.ip_address(host).packed + port.to_bytes(2, "big")
+
+
 def count(field: str, direction: str, size: int) -> None:
     """Count one control message of `size` bytes."""
     labels = {"direction": direction, "message": field}
@@ -131,6 +168,23 @@
     return await stream.receive_exactly(length)
 
 
+async def connect(codec: Codec, address: tuple[str, int]) -> anyio.abc.ByteStream:
+    """Connect to a peer, with TLS if this host uses it.
+
+    Raises
+    ------
+    OSError
+        If the peer cannot be reached, or one side refuses the certificate.
+    """
+    if codec.tls is None:
+        return await anyio.connect_tcp(*address)
+    # Messages carry their length, so a connection that is cut off is noticed
+    # without TLS's closing handshake.
+    return await anyio.connect_tcp(
+        *address, ssl_context=codec.tls, tls_standard_compatible=False
+    )
+
+
 async def call(
     codec: Codec,
     address: tuple[str, int],
@@ -141,10 +195,12 @@
     """Send one message over TCP and return the answer."""
     with anyio.move_on_after(timeout_s):
         try:
-            async with await anyio.connect_tcp(*address) as stream:
-                await send_stream(stream, codec.encode(field, message))
+            async with await connect(codec, address) as stream:
                 reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
-                return codec.decode(await receive_stream(reader))
+                challenge = await reader.receive_exactly(CHALLENGE_BYTES)
+                request = codec.encode(field, message, CALL + challenge)
+                await send_stream(stream, request)
+                return codec.decode(await receive_stream(reader), REPLY + challenge)
         except (
             OSError,
             ValueError,
--- a/basilgate/reasons.py
+++ b/basilgate/reasons.py
@@ -23,9 +23,14 @@
     TOO_MANY_HOPS = 9
     UNEXPECTED_KIND = 10
     DUPLICATE = 11
-    # Waited in a socket of this host while the process was paused.
+    # Waited in a socket while the process was paused, or was sent too long ago.
     STALE = 12
 
+    # TLS connections that are refused.
+    TLS_NO_CERTIFICATE = 13
+    TLS_BAD_CERTIFICATE = 14
+    TLS_FAILED = 15
+
     # Tokens that do not admit a packet.
     TOKEN_FORGED = 20
     TOKEN_EXPIRED = 21
--- a/basilgate/settings.py
+++ b/basilgate/settings.py
@@ -105,6 +105,28 @@
     flow_idle_s: float = pydantic.Field(default=120.0, gt=0)
 
 
+class TlsSection(Section):
+    """``[tls]``: PEM files for TLS with certificates on both sides.
+
+    It applies to the TCP calls between balancers and to the admin interface.
+    Without this section both are plain TCP.
+    """
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    ca: pathlib.Path
+
+    @pydantic.field_validator("certificate", "key", "ca")
+    @classmethod
+    def check_file(cls, value: pathlib.Path) -> pathlib.Path:
+        """Accept files that can be read."""
+        try:
+            value.read_bytes()
+        except OSError as error:
+            raise ValueError(f"cannot read {value}: {error.strerror}") from error
+        return value
+
+
 class LoggingSection(Section):
     """``[logging]``: what is logged."""
 
@@ -120,6 +142,7 @@
     peers: PeersSection
     policies: PoliciesSection = PoliciesSection()
     limits: LimitsSection = LimitsSection()
+    tls: TlsSection | None = None
     logging: LoggingSection = LoggingSection()
 
 
--- a/basilgate/tls.py
+++ b/basilgate/tls.py
@@ -1,22 +1,63 @@
 """TLS with certificates on both sides, between balancers and for admin access."""
 
+import pathlib
 import ssl
 
+import anyio
+import anyio.abc
+import anyio.streams.tls
 
-def server_context(certificate: str, key: str, ca: str) -> ssl.SSLContext:
+from basilgate import metrics, reasons, settings
+
+HANDSHAKE_TIMEOUT_S = 3.0
+
+# Reasons of OpenSSL, as `ssl.SSLError.reason` gives them.
+REFUSALS = {
+    "PEER_DID_NOT_RETURN_A_CERTIFICATE": reasons.Reason.TLS_NO_CERTIFICATE,
+    "CERTIFICATE_VERIFY_FAILED": reasons.Reason.TLS_BAD_CERTIFICATE,
+}
+
+
+def server_context(
+    files: settings.TlsSection, listener_name: str = "calls"
+) -> ssl.SSLContext:
     """Return the context of a server that accepts only peers of the CA.
 
+    Parameters
+    ----------
+    files : settings.TlsSection
+        Own certificate and key, and the CA's certificate.
+    listener_name : str
+        Label under which refused connections are counted.
+
     Raises
     ------
     OSError
-        If a file cannot be read, or is not a certificate or key
-        (`ssl.SSLError` is an `OSError`).
+        If a file is not a certificate or key (`ssl.SSLError` is an `OSError`).
     """
+
+    class CountedHandshake(ssl.SSLObject):
+        """Connection that counts a failed handshake by reason."""
+
+        def do_handshake(self) -> None:
+            """Go on with the handshake."""
+            try:
+                super().do_handshake()
+            except (ssl.SSLWantReadError, ssl.SSLWantWriteError):
+                raise
+            except ssl.SSLError as error:
+                reason = REFUSALS.get(error.reason or "", reasons.Reason.TLS_FAILED)
+                metrics.REFUSED_CONNECTIONS.inc(
+                    {"listener": listener_name, "reason": reasons.label(reason)}
+                )
+                raise
+
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    return require_peer(context, certificate, key, ca)
+    context.sslobject_class = CountedHandshake
+    return require_peer(context, files)
 
 
-def client_context(certificate: str, key: str, ca: str) -> ssl.SSLContext:
+def client_context(files: settings.TlsSection) -> ssl.SSLContext:
     """Return the context of a client that accepts only servers of the CA.
 
     Host names are not compared: balancers are known by address only, and the CA
@@ -25,20 +66,80 @@
     Raises
     ------
     OSError
-        If a file cannot be read, or is not a certificate or key.
+        If a file is not a certificate or key.
     """
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
-    return require_peer(context, certificate, key, ca)
+    return require_peer(context, files)
 
 
-def require_peer(
-    context: ssl.SSLContext, certificate: str, key: str, ca: str
-) -> ssl.SSLContext:
+def require_peer(context: ssl.SSLContext, files: settings.TlsSection) -> ssl.SSLContext:
     """Load the files and demand a certificate of the CA from the other side."""
     # Both ends are this project, so older versions are of no use.
     context.minimum_version = ssl.TLSVersion.TLSv1_3
-    context.load_cert_chain(certificate, key)
-    context.load_verify_locations(ca)
+    context.load_cert_chain(files.certificate, files.key)
+    context.load_verify_locations(files.ca)
     context.verify_mode = ssl.CERT_REQUIRED
     return context
+
+
+def calling(files: settings.TlsSection | None) -> ssl.SSLContext | None:
+    """Return the context of outgoing calls, None without TLS."""
+    return client_context(files) if files is not None else None
+
+
+def serving(
+    files: settings.TlsSection | None, listener_name: str
+) -> ssl.SSLContext | None:
+    """Return the context of a listener, None without TLS."""
+    return server_context(files, listener_name) if files is not None else None
+
+
+def problem(files: settings.TlsSection | None) -> str:
+    """Return one line that says what is wrong with the files, empty if nothing is."""
+    if files is None:
+        return ""
+    try:
+        ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT).load_verify_locations(files.ca)
+    except OSError as error:
+        return f"[tls] ca: {describe(error, files.ca)}"
+    try:
+        client_context(files)
+    except OSError as error:
+        return f"[tls] certificate, key: {describe(error, files.certificate)}"
+    return ""
+
+
+def describe(error: OSError, path: pathlib.Path) -> str:
+    """Return what is wrong with a PEM file."""
+    reason = error.reason if isinstance(error, ssl.SSLError) else error.strerror
+    return f"cannot use {path}: {reason or 'not a PEM file'}"
+
+
+class Listener(anyio.streams.tls.TLSListener):
+    """TLS listener that drops a refused connection; its context counts it."""
+
+    @staticmethod
+    async def handle_handshake_error(
+        exc: BaseException, stream: anyio.abc.AnyByteStream
+    ) -> None:
+        """Close the connection; only cancellation goes further."""
+        await anyio.aclose_forcefully(stream)
+        if not isinstance(exc, Exception):
+            raise exc
+
+
+def listener(
+    plain: anyio.abc.Listener[anyio.abc.SocketStream],
+    files: settings.TlsSection | None,
+) -> anyio.abc.Listener[anyio.abc.ByteStream]:
+    """Return a listener for calls, with TLS if files are given."""
+    context = serving(files, "calls")
+    if context is None:
+        return plain
+    return Listener(
+        plain,
+        context,
+        standard_compatible=False,
+        handshake_timeout=HANDSHAKE_TIMEOUT_S,
+    )
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -43,6 +43,8 @@
   5: required i64 config_digest,
   6: required bool reply_wanted,
   7: optional list<TargetLoad> loads,
+  // Unix time in milliseconds; an older ping proves nothing about the present.
+  8: required i64 sent_ms,
 }
 
 struct ObjectVersion {
--- a/peerproto/ttypes.py
+++ b/peerproto/ttypes.py
@@ -460,6 +460,7 @@
      - config_digest
      - reply_wanted
      - loads
+     - sent_ms
 
     """
 
@@ -471,10 +472,11 @@
         'config_digest',
         'reply_wanted',
         'loads',
+        'sent_ms',
     )
 
 
-    def __init__(self, host=None, domain=None, incarnation=None, config_revision=None, config_digest=None, reply_wanted=None, loads=None,):
+    def __init__(self, host=None, domain=None, incarnation=None, config_revision=None, config_digest=None, reply_wanted=None, loads=None, sent_ms=None,):
         self.host = host
         self.domain = domain
         self.incarnation = incarnation
@@ -482,6 +484,7 @@
         self.config_digest = config_digest
         self.reply_wanted = reply_wanted
         self.loads = loads
+        self.sent_ms = sent_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -533,6 +536,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -574,6 +582,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 8)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -590,6 +602,8 @@
             raise TProtocolException(message='Required field config_digest is unset!')
         if self.reply_wanted is None:
             raise TProtocolException(message='Required field reply_wanted is unset!')
+        if self.sent_ms is None:
+            raise TProtocolException(message='Required field sent_ms is unset!')
         return
 
     def __repr__(self):
@@ -2129,6 +2143,7 @@
     (5, TType.I64, 'config_digest', None, None, ),  # 5
     (6, TType.BOOL, 'reply_wanted', None, None, ),  # 6
     (7, TType.LIST, 'loads', (TType.STRUCT, [TargetLoad, None], False), None, ),  # 7
+    (8, TType.I64, 'sent_ms', None, None, ),  # 8
 )
 all_structs.append(ObjectVersion)
 ObjectVersion.thrift_spec = (
