--- /dev/null
+++ b/features/report_reference.feature
@@ -0,0 +1,15 @@
+Feature: Reference pages
+  Guards against pages on metrics, reasons, and settings that no longer describe
+  the code.
+
+  Scenario: Each metric is described as it is registered
+    When the reference page metrics.md is read
+    Then the reference lists every metric with type and meaning
+
+  Scenario: Each reason is described with its code and kind
+    When the reference page reasons.md is read
+    Then the reference lists every reason with code and kind
+
+  Scenario: Each setting is described with its default
+    When the reference page settings.md is read
+    Then the reference lists every setting with unit and default
