Harden inputs: fuzzing, replay tests, TLS tests, one-line errors for settings

The tests cover forged, recorded, and foreign messages; lab/fuzz.py sends hostile input to a live balancer and checks that each drop is counted and no task ends. Found and fixed: an unknown policy name ended the start with a traceback.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -37,6 +37,7 @@
     platformapi,
     queueing,
     reasons,
+    registry,
     rendezvous,
     replica,
     settings,
@@ -704,6 +705,19 @@
     sys.exit(run_process(settings_file))
 
 
+def unknown_policy(config: settings.Settings) -> str:
+    """Return one line about a policy that does not exist, empty if all do."""
+    chosen: tuple[tuple[str, registry.Registry[typing.Any], str], ...] = (
+        ("placement", placement.POLICIES, config.policies.placement),
+        ("queueing", queueing.POLICIES, config.policies.queueing),
+    )
+    for key, policies, name in chosen:
+        if name not in policies.entries:
+            known = ", ".join(policies.names())
+            return f"[policies] {key}: unknown policy {name!r}; known: {known}"
+    return ""
+
+
 def run_process(
     settings_file: str, socket_factory: datagrams.Factory = datagrams.open_socket
 ) -> int:
@@ -713,7 +727,7 @@
         print(f"{settings_file}: {loaded.failure()}", file=sys.stderr)
         return 2
     config = loaded.unwrap()
-    wrong = tls.problem(config.tls)
+    wrong = tls.problem(config.tls) or unknown_policy(config)
     if wrong:
         print(f"{settings_file}: {wrong}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/features/steps/hardening_steps.py
@@ -0,0 +1,515 @@
+"""Steps for hardened inputs: decoders, replays, settings, TLS, and health."""
+
+import contextlib
+import datetime
+import io
+import ipaddress
+import pathlib
+import ssl
+import tempfile
+
+import anyio
+import behave
+import httpx
+import hypothesis
+import hypothesis.strategies as st
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+from returns import result
+
+from basilgate import (
+    balancer,
+    burnsettings,
+    exposition,
+    home,
+    metrics,
+    objects,
+    peering,
+    reasons,
+    settings,
+    tls,
+)
+from lab import fuzz, solo
+from peerproto import ttypes
+
+CODEC = peering.Codec(bytes(32))
+CONTEXT = peering.context_of(("127.0.0.1", 7001))
+MESSAGES = (
+    (
+        "heartbeat",
+        ttypes.Heartbeat(
+            "a", 1, 2, 3, 4, 5, 6, False, [ttypes.TargetLoad(1, 2, 3, 4, 1, 6)]
+        ),
+    ),
+    ("sync_request", ttypes.SyncRequest("a", [ttypes.ObjectVersion("sheet", 4)])),
+    ("completion", ttypes.Completion("a", 1, 2, 3, 4, 5, 6)),
+)
+DATAGRAMS = [CODEC.encode(field, message, CONTEXT) for field, message in MESSAGES]
+# Real messages with bytes changed, cut off, or added.
+CHANGES = st.tuples(
+    st.sampled_from(DATAGRAMS),
+    st.integers(0, 200),
+    st.integers(0, 255),
+    st.integers(0, 200),
+    st.binary(max_size=20),
+)
+
+
+def changed(original, position, byte, kept, added):
+    """Return a message with one byte changed, its end cut off, and bytes added."""
+    position %= len(original)
+    mutated = original[:position] + bytes([byte]) + original[position + 1 :]
+    return mutated[: max(kept, position + 1)] + added
+
+
+@behave.when("control messages are cut, lengthened, or changed by hardening tests")
+def change_messages(context):
+    """Decode changed messages; an unchanged one has to pass."""
+    context.passed = []
+
+    @hypothesis.given(CHANGES)
+    def decode(change):
+        datagram = changed(*change)
+        decoded = CODEC.decode(datagram, CONTEXT)
+        if isinstance(decoded, result.Success) and datagram not in DATAGRAMS:
+            context.passed.append(datagram)
+
+    decode()
+    assert all(CODEC.decode(d, CONTEXT).unwrap() for d in DATAGRAMS)
+
+
+@behave.then("no changed message passes the hardened decoder")
+def check_none_passed(context):
+    """Check that only unchanged messages passed."""
+    assert not context.passed, context.passed
+
+
+@behave.when("changed payloads are sealed with a valid MAC for hardening tests")
+def seal_changed(context):
+    """Decode changed payloads whose MAC is right."""
+    context.outcomes = []
+
+    @hypothesis.given(CHANGES)
+    def decode(change):
+        payload = changed(*change)[peering.ENVELOPE.size :]
+        mac = CODEC.mac(payload, CONTEXT)
+        sealed = peering.ENVELOPE.pack(peering.CONTROL_MAGIC, mac) + payload
+        context.outcomes.append(CODEC.decode(sealed, CONTEXT))
+
+    decode()
+
+
+@behave.then("the hardened decoder returns a message or a reason")
+def check_outcomes(context):
+    """Check that both outcomes came up and that reasons are named."""
+    failures = [o.failure() for o in context.outcomes if isinstance(o, result.Failure)]
+    assert set(failures) == {reasons.Reason.MALFORMED}, set(failures)
+    assert len(failures) < len(context.outcomes)
+
+
+@behave.when("random text goes to the hardened text decoders")
+def decode_text(context):
+    """Give text of any kind, and text like the real one, to the decoders."""
+    context.checked = 0
+    ini = st.from_regex(r"(\[(host|listen|tls|alert a)\]\n([a-z_]{1,9} ?= ?.*\n)*)*")
+    lines = st.from_regex(r"[a-z_]{1,9}(\{[a-z=\",\\]*\})? [0-9a-zA-Z.+-]{1,9}")
+    names = st.sampled_from(["sheet", "sheet-part/1", "view/a", "key/1", "x"])
+    scalars = st.one_of(st.none(), st.integers(), st.text(max_size=9))
+    values = st.dictionaries(
+        st.sampled_from(["id", "domain", "members", "parts", "date", "epoch"]),
+        st.one_of(scalars, st.lists(scalars, max_size=3)),
+    )
+
+    @hypothesis.given(st.one_of(st.text(), ini), lines, names, values)
+    def decode(text, line, name, value):
+        for decoded in (
+            settings.parse(text),
+            burnsettings.parse(text),
+            objects.parse(name, value),
+        ):
+            if isinstance(decoded, result.Failure):
+                assert len(decoded.failure().splitlines()) == 1, decoded
+            context.checked += 1
+        for sample in exposition.parse(f"{text}\n{line}"):
+            assert isinstance(sample.value, float)
+
+    decode()
+
+
+@behave.then("each hardened text decoder returns a value or one line")
+def check_text(context):
+    """Check that the decoders were run."""
+    assert context.checked >= 300, context.checked
+
+
+@behave.when(
+    "a live balancer gets {batches:d} batches of hostile input from seed {s:d}"
+)
+def fuzz_balancer(context, batches, s):
+    """Fuzz a balancer; a lost count or an ended task fails the step."""
+    context.drops = anyio.run(fuzz.run, s, 60.0, batches)
+
+
+@behave.then("the hardened balancer has counted drops for {names}")
+def check_drops(context, names):
+    """Check that each reason was reached."""
+    assert set(names.split(", ")) <= set(context.drops), context.drops
+
+
+def state(server):
+    """Return what a refused message must leave alone."""
+    peer = server.balancer.members.peers[solo.PEER]
+    entry = server.balancer.homes.homes.get(solo.TARGET)
+    return {
+        "alive": (peer.suspect_at, peer.dead_at),
+        "lease": (peer.granted_until, server.balancer.members.lease_until()),
+        "echo": peer.newest_sent_us,
+        "leaving": peer.leaving,
+        "ended": set(server.balancer.members.ended),
+        "reachable": dict(server.balancer.reachable_until),
+        "loaded": set(entry.loaded) if entry is not None else None,
+    }
+
+
+async def count_heartbeat(server):
+    """Send a heartbeat that counts and wait until it has; return the datagram."""
+    peer = server.balancer.members.peers[solo.PEER]
+    before = peer.newest_sent_us
+    datagram = await server.send_control("heartbeat", server.heartbeat())
+    with anyio.fail_after(10):
+        while peer.newest_sent_us == before:
+            await anyio.sleep(0.01)
+    return datagram
+
+
+async def play_back_call(server):
+    """Send a handover that was bound to the challenge of an earlier connection."""
+    challenge = bytes(peering.CHALLENGE_BYTES)
+    recorded = server.codec.encode(
+        "handover", server.handover(), peering.CALL + challenge
+    )
+    async with await anyio.connect_tcp(*server.peers) as stream:
+        await stream.receive(peering.CHALLENGE_BYTES)
+        await peering.send_stream(stream, recorded)
+        with contextlib.suppress(anyio.EndOfStream):
+            await stream.receive()
+
+
+async def send_message(server, message):
+    """Send one of the messages that have to be refused."""
+    if message == "a recorded heartbeat again":
+        recorded = await count_heartbeat(server)
+        before = state(server)
+        await server.peer.sendto(recorded, *server.peers)
+        return before
+    await count_heartbeat(server)
+    before = state(server)
+    now_us = int(anyio.current_time() * 1_000_000)
+    if message == "a heartbeat recorded for another host":
+        context = peering.context_of(("127.0.0.9", 7001))
+        recorded = server.codec.encode("heartbeat", server.heartbeat(), context)
+        await server.peer.sendto(recorded, *server.peers)
+    elif message == "a heartbeat of a former incarnation":
+        old = server.heartbeat(incarnation=solo.PEER_INCARNATION - 1, leaving=True)
+        await server.send_control("heartbeat", old)
+    elif message == "a heartbeat of a stranger":
+        await server.send_control("heartbeat", server.heartbeat(host="stranger"))
+    elif message == "a newer incarnation from elsewhere":
+        newer = server.heartbeat(incarnation=solo.PEER_INCARNATION + 1)
+        context = peering.context_of(server.peers)
+        datagram = server.codec.encode("heartbeat", newer, context)
+        await server.caller.sendto(datagram, *server.peers)
+    elif message == "an echo from the future":
+        future = server.heartbeat(echo_us=now_us + 60_000_000)
+        await server.send_control("heartbeat", future)
+    elif message == "an old ping":
+        sent_ms = home.now_ms() - 10_000
+        ping = ttypes.DomainPing(
+            "far", solo.OTHER_DOMAIN, 1, 1, 1, False, sent_ms=sent_ms
+        )
+        await server.send_control("domain_ping", ping)
+    elif message == "a recorded handover call":
+        await play_back_call(server)
+    else:
+        sender = {"host": "stranger"}
+        if message == "a handover of a former incarnation":
+            sender = {"incarnation": solo.PEER_INCARNATION - 1}
+        handover = server.handover(**sender)
+        answer = await peering.call(server.codec, server.peers, "handover", handover)
+        assert not answer.unwrap()[1].accepted
+    return before
+
+
+@behave.when("a live balancer gets {message} in a hardening test")
+def refuse_message(context, message):
+    """Send a message and record drops and state before and after."""
+
+    async def run():
+        async with solo.running(with_peer=True) as server:
+            start = solo.dropped()
+            context.before = await send_message(server, message)
+            with anyio.move_on_after(10):
+                while solo.dropped() == start:
+                    await anyio.sleep(0.01)
+            context.after = state(server)
+            context.drops = {
+                reason: count - start.get(reason, 0)
+                for reason, count in solo.dropped().items()
+                if count != start.get(reason, 0)
+            }
+
+    anyio.run(run)
+
+
+@behave.then("the hardening test counts {count:d} drop for {reason}")
+def check_drop(context, count, reason):
+    """Compare the drops with the expected one."""
+    assert context.drops == {reason: count}, context.drops
+
+
+@behave.then("the message left the hardened balancer's state unchanged")
+def check_state(context):
+    """Compare lease, detection times, and handovers."""
+    assert context.before == context.after, (context.before, context.after)
+
+
+@behave.when("a hardened home gets one handover twice")
+def hand_over_twice(context):
+    """Send the same handover in two calls."""
+
+    async def run():
+        async with solo.running(with_peer=True) as server:
+            homes = server.balancer.homes.homes
+            record = ttypes.RequestRecord(5, 6, 5, 45, False, 2**50, "")
+            handover = server.handover(records=[record])
+            answers = [
+                await peering.call(server.codec, server.peers, "handover", handover)
+                for _ in range(2)
+            ]
+            context.accepted = [answer.unwrap()[1].accepted for answer in answers]
+            context.records = list(homes[solo.TARGET].records)
+
+    taken = {"direction": "in", "outcome": "accepted"}
+    metrics.HANDOVERS.add(taken, 0)
+    before = metrics.HANDOVERS.get(taken)
+    anyio.run(run)
+    context.taken = metrics.HANDOVERS.get(taken) - before
+
+
+@behave.then("the hardened home loaded it once and accepted both copies")
+def check_loaded_once(context):
+    """Check answers, records, and the count of handovers."""
+    assert context.accepted == [True, True]
+    assert context.records == [(5, 6)]
+    assert context.taken == 1, context.taken
+
+
+GOOD_SETTINGS = {
+    "host": {"name": "a", "failure_domain": "b"},
+    "listen": {
+        "callers": "127.0.0.1:7000",
+        "peers": "127.0.0.1:7001",
+        "admin": "127.0.0.1:7002",
+    },
+    "platform": {"url": "http://127.0.0.1:9"},
+    "peers": {"secret": "5a" * 32},
+}
+
+
+def changed_settings(change):
+    """Return the settings with one key set, or removed if it has no value."""
+    values = {section: dict(keys) for section, keys in GOOD_SETTINGS.items()}
+    section, _, rest = change.removeprefix("[").partition("] ")
+    key, equals, value = rest.partition(" = ")
+    values.setdefault(section, {})[key] = value
+    if not equals:
+        del values[section][key]
+    return "".join(
+        f"[{section}]\n" + "".join(f"{key} = {value}\n" for key, value in keys.items())
+        for section, keys in values.items()
+    )
+
+
+def start(context, path):
+    """Start a balancer with a settings file that has to be refused."""
+    errors = io.StringIO()
+    with contextlib.redirect_stderr(errors):
+        context.status = balancer.run_process(str(path))
+    context.lines = errors.getvalue().splitlines()
+
+
+@behave.when("the hardened balancer starts with {change}")
+def start_with(context, change):
+    """Write the settings and start."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.ini"
+        if change == "a file that is not text":
+            path.write_bytes(b"\xff\xfe\x00")
+        elif change == "a TLS key that is not a key":
+            files = make_certificates(pathlib.Path(folder), "ca")
+            files.key.write_text("nonsense")
+            path.write_text(changed_settings("[tls] ca = " + str(files.ca)))
+            with path.open("a") as file:
+                file.write(f"certificate = {files.certificate}\nkey = {files.key}\n")
+        elif change != "no file":
+            path.write_text(changed_settings(change))
+        start(context, path)
+
+
+@behave.then("the hardened start ends with status 2 and one line with {words}")
+def check_start(context, words):
+    """Check status and line."""
+    assert context.status == 2
+    assert len(context.lines) == 1 and words in context.lines[0], context.lines
+
+
+def certificate(subject, key, issuer, issuer_key, is_ca):
+    """Return a throw-away certificate."""
+    now = datetime.datetime.now(datetime.UTC)
+    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, subject)])
+    by = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, issuer)])
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    builder = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(by)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(hours=1))
+        .not_valid_after(now + datetime.timedelta(hours=1))
+        .add_extension(x509.BasicConstraints(ca=is_ca, path_length=None), True)
+        .add_extension(x509.SubjectAlternativeName([address]), False)
+    )
+    return builder.sign(issuer_key, hashes.SHA256())
+
+
+def make_certificates(folder, ca):
+    """Write a CA, and a certificate of it with its key; return the paths."""
+    ca_key, key = (ec.generate_private_key(ec.SECP256R1()) for _ in range(2))
+    pem = serialization.Encoding.PEM
+    paths = [folder / f"{ca}-{name}.pem" for name in ("certificate", "key", "ca")]
+    own = certificate("host", key, ca, ca_key, is_ca=False)
+    paths[0].write_bytes(own.public_bytes(pem))
+    paths[1].write_bytes(
+        key.private_bytes(
+            pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
+    )
+    issuer = certificate(ca, ca_key, ca, ca_key, is_ca=True)
+    paths[2].write_bytes(issuer.public_bytes(pem))
+    return settings.TlsSection(certificate=paths[0], key=paths[1], ca=paths[2])
+
+
+def client_context(credentials, folder, own):
+    """Return the context of a client with the given credentials."""
+    if credentials == "no TLS":
+        return None
+    if credentials == "no certificate":
+        context = ssl.create_default_context(cafile=own.ca)
+        context.check_hostname = False
+        return context
+    files = own
+    if credentials == "a certificate of another CA":
+        other = make_certificates(folder, "other")
+        # The client trusts the server; only the server refuses.
+        files = other.model_copy(update={"ca": own.ca})
+    return tls.client_context(files)
+
+
+def refused_connections():
+    """Return the refused connections by listener and reason."""
+    return {
+        (labels["listener"], labels["reason"]): count
+        for labels, count in metrics.REFUSED_CONNECTIONS.get_all()
+    }
+
+
+async def ask_admin(server, client_tls):
+    """Return whether the admin interface answered."""
+    scheme = "http" if client_tls is None else "https"
+    async with httpx.AsyncClient(verify=client_tls or False, trust_env=False) as client:
+        try:
+            await client.get(f"{scheme}://{server.admin}/health")
+        except httpx.TransportError:
+            return "no answer"
+    return "an answer"
+
+
+@behave.when("a peer with {credentials} calls a hardened balancer that serves TLS")
+def call_with(context, credentials):
+    """Call the balancer over TCP and over HTTP."""
+
+    async def run(folder):
+        own = make_certificates(folder, "ca")
+        async with solo.running(tls_files=own) as server:
+            client_tls = client_context(credentials, folder, own)
+            # The check whether the port is open has no TLS and counts as well.
+            await anyio.sleep(0.05)
+            start = refused_connections()
+            caller = peering.Codec(bytes.fromhex(solo.SECRET), client_tls)
+            request = ttypes.SyncRequest("a", [])
+            answer = await peering.call(
+                caller, server.peers, "sync_request", request, timeout_s=1.0
+            )
+            answered = isinstance(answer, result.Success)
+            context.answers = {
+                "call": "an answer" if answered else "no answer",
+                "admin": await ask_admin(server, client_tls),
+            }
+            with anyio.move_on_after(5):
+                while not answered and len(counted(start)) < 2:
+                    await anyio.sleep(0.01)
+            context.refused = counted(start)
+
+    def counted(start):
+        return {
+            key for key, n in refused_connections().items() if n != start.get(key, 0)
+        }
+
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(run, pathlib.Path(folder))
+
+
+@behave.then(
+    "its call has {answer}, its admin request has {outcome}, "
+    "and the hardened count is {reason}"
+)
+def check_tls(context, answer, outcome, reason):
+    """Compare answers and counted reasons of both listeners."""
+    assert context.answers == {"call": answer, "admin": outcome}, context.answers
+    expected = {("calls", reason), ("admin", reason)} if reason != "none" else set()
+    assert context.refused == expected, context.refused
+
+
+@behave.when("a hardened balancer {condition}")
+def bring_into(context, condition):
+    """Bring a balancer into a state and ask for its health."""
+
+    async def run():
+        async with solo.running() as server:
+            process = server.balancer
+            if condition == "is leaving":
+                process.members.leaving = True
+            elif condition == "was removed from its view":
+                view = objects.View(domain=solo.DOMAIN, epoch=2, members=())
+                solo.apply(process, objects.VIEW_PREFIX + solo.DOMAIN, 2, view)
+            elif condition == "has lost its keys":
+                process.ring.retain(set())
+            elif condition == "had a slow event loop":
+                process.clock.lags.append((anyio.current_time(), 2.0))
+            async with httpx.AsyncClient(trust_env=False) as client:
+                context.answer = await client.get(f"http://{server.admin}/health")
+
+    anyio.run(run)
+
+
+@behave.then("its health answer is {status:d} because of {check}")
+def check_health(context, status, check):
+    """Compare the status and the checks that failed."""
+    answer = context.answer.json()
+    failed = [name for name, value in answer.items() if value is False]
+    assert context.answer.status_code == status, answer
+    expected = [] if check == "nothing" else ["healthy", check]
+    assert failed == expected, answer
