--- a/features/report_reference.feature
+++ b/features/report_reference.feature
@@ -13,3 +13,8 @@
   Scenario: Each setting is described with its default
     When the reference page settings.md is read
     Then the reference lists every setting with unit and default
+
+  Scenario: The protocol page describes the frames as they are encoded
+    When the reference page protocol.md is read
+    Then the reference has the fields, kinds, and limits of the code
+    And each reference example has the bytes that the code makes of it
--- a/features/steps/reference_steps.py
+++ b/features/steps/reference_steps.py
@@ -2,12 +2,13 @@
 
 import pathlib
 import re
+import struct
 import typing
 
 import behave
 import pydantic
 
-from basilgate import metrics, reasons, settings
+from basilgate import client, home, metrics, reasons, settings, slots, tokens, wire
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
 UNITS = {"_s": "s", "_bytes": "bytes"}
@@ -31,7 +32,8 @@
 @behave.when("the reference page {name} is read")
 def read_page(context, name):
     """Read the tables of a page."""
-    context.rows = rows((DOCS / name).read_text(encoding="utf-8"))
+    context.page = (DOCS / name).read_text(encoding="utf-8")
+    context.rows = rows(context.page)
 
 
 @behave.then("the reference lists every metric with type and meaning")
@@ -86,3 +88,61 @@
             expected[(f"[{section}]", f"`{key}`")] = (unit, default_of(field))
     assert described == expected, set(described.items()) ^ set(expected.items())
     assert all(c[3] for _, c in context.rows)
+
+
+@behave.then("the reference has the fields, kinds, and limits of the code")
+def check_frame(context):
+    """Compare the tables with the header, and the numbers with the constants."""
+    fields = [c for heading, c in context.rows if heading == "Frame" and len(c) == 4]
+    header = [(int(c[0]), int(c[1])) for c in fields if c[1].isdigit()]
+    offset = 0
+    expected = []
+    for code in re.findall(r"\d*[A-Za-z]", wire.HEADER.format.lstrip("!")):
+        size = struct.calcsize("!" + code)
+        expected.append((offset, size))
+        offset += size
+    assert header == expected, header
+    assert offset == wire.HEADER_BYTES == 72
+    kinds = {c[1]: int(c[0]) for c in fields if not c[1].isdigit()}
+    assert kinds == {kind.name: int(kind) for kind in wire.Kind}, kinds
+    text = " ".join(context.page.split())
+    default = settings.LimitsSection()
+    for phrase in (
+        f"body of 0 to {wire.MAX_BODY_BYTES:,} bytes",
+        f"a pause of {client.OPEN_RETRANSMIT_S} s between copies",
+        f"at most {default.max_deadline_s:.0f} s from now",
+        f"after {client.REQUEST_RETRANSMIT_S} s, {2 * client.REQUEST_RETRANSMIT_S} s",
+        f"wait at least {client.PENDING_RETRANSMIT_S:.0f} s between copies",
+        f"first {home.UNPROMPTED_PIECES} pieces on its own",
+        f"arrived for {1000 * client.PULL_PAUSE_S:.0f} ms",
+        f"at most {home.MAX_PULLED_PIECES} pieces",
+        f"the answer for at least {home.ANSWER_KEPT_S:.0f} s",
+        f"silent for {default.flow_idle_s:.0f} s",
+        f"KEEPALIVE every {client.KEEPALIVE_INTERVAL_S:.0f} s",
+        f"within {slots.CANCEL_GRACE_S:.0f} s",
+        f"in {wire.LENGTH_PREFIX.size} bytes",
+        f"reason {int(reasons.Reason.START_BY_PASSED)} (`start_by_passed`)",
+    ):
+        assert phrase in text, phrase
+
+
+@behave.then("each reference example has the bytes that the code makes of it")
+def check_examples(context):
+    """Encode the fields of each example, and decode its bytes."""
+    examples = re.findall(r"```example\n(.*?)\n\n(.*?)\n```", context.page, re.S)
+    assert len(examples) == context.page.count("```example") > 5
+    ring = tokens.KeyRing()
+    ring.add(1, bytes(range(32)))
+    for fields, text in examples:
+        values = dict(line.split(": ") for line in fields.splitlines())
+        kind = wire.Kind[values.pop("kind")]
+        raw = {
+            n: bytes.fromhex(values.pop(n)) for n in ("token", "body") if n in values
+        }
+        frame = wire.Frame(kind, **raw, **{n: int(v) for n, v in values.items()})
+        datagram = bytes.fromhex(text)
+        assert wire.encode(frame) == datagram, fields
+        assert wire.decode(datagram).unwrap() == frame, fields
+        if "token" in raw:
+            placed = tokens.verify(ring, frame.token, frame.flow, frame.service, 0)
+            assert placed.unwrap().target == 42
