--- /dev/null
+++ b/lab/pathbench.py
@@ -0,0 +1,365 @@
+"""Cost of the packet path: `python -m lab.pathbench`.
+
+Times are processor times of this process, given as ratios to a bare anyio UDP relay
+that forwards the same packets. The cases run in turns, and the median over the turns
+counts, so that the load of the machine cancels out.
+"""
+
+import collections.abc
+import cProfile
+import dataclasses
+import json
+import math
+import pathlib
+import pstats
+import socket
+import statistics
+import time
+import timeit
+import tracemalloc
+
+import anyio
+import anyio.abc
+import fire
+import fire.decorators
+
+from basilgate import (
+    client,
+    datagrams,
+    home,
+    objects,
+    opening,
+    peering,
+    rendezvous,
+    tokens,
+    wire,
+)
+from lab import solo
+
+# A batch has to fit into a receive buffer of the usual size.
+BATCH = 150
+LIMIT_S = 10.0
+BODY_BYTES = 100
+STATE_COUNT = 10_000
+OUT = pathlib.Path("out/pathbench.json")
+RELAY_ADDRESS = "127.239.1.1"
+FLOW = 77
+
+
+class CountedSocket:
+    """Socket that tells when a number of datagrams has been sent.
+
+    Parameters
+    ----------
+    udp : datagrams.DatagramSocket
+        The socket; sends go through it.
+    """
+
+    def __init__(self, udp: datagrams.DatagramSocket) -> None:
+        self.udp = udp
+        self.left = 0
+        self.done = anyio.Event()
+
+    async def sendto(self, data: bytes, host: str, port: int) -> None:
+        """Send a datagram and count it."""
+        await self.udp.sendto(data, host, port)
+        self.left -= 1
+        if self.left == 0:
+            self.done.set()
+
+    async def receive(self) -> tuple[bytes, tuple[str, int]]:
+        """Return the next datagram and its sender."""
+        return await self.udp.receive()
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        await self.udp.aclose()
+
+
+@dataclasses.dataclass(slots=True)
+class Case:
+    """A way for packets to go: sent to `address`, each gives one packet on `out`."""
+
+    name: str
+    datagram: bytes
+    address: tuple[str, int]
+    out: CountedSocket
+
+
+async def relay_bare(udp: CountedSocket, sink: tuple[str, int]) -> None:
+    """Forward all datagrams to the sink."""
+    while True:
+        datagram, _ = await udp.receive()
+        await udp.sendto(datagram, *sink)
+
+
+async def measure(case: Case, sender: socket.socket) -> float:
+    """Return the processor time of one packet in seconds.
+
+    Raises
+    ------
+    TimeoutError
+        If not all packets come out.
+    """
+    for _ in range(BATCH):
+        sender.sendto(case.datagram, case.address)
+    case.out.left = BATCH
+    case.out.done = anyio.Event()
+    started_s = time.process_time()
+    with anyio.fail_after(LIMIT_S):
+        await case.out.done.wait()
+    return (time.process_time() - started_s) / BATCH
+
+
+def request(server: solo.Solo, target: int) -> bytes:
+    """Return an idempotent request to a target."""
+    placement = tokens.Placement(solo.SERVICE, target, 1, solo.NEVER)
+    frame = wire.Frame(
+        wire.Kind.REQUEST,
+        solo.SERVICE,
+        FLOW,
+        request=1,
+        flags=wire.FLAG_IDEMPOTENT,
+        deadline_ms=client.now_ms() + 59_000,
+        token=tokens.mint(server.balancer.ring, placement, FLOW),
+        body=bytes(BODY_BYTES),
+    )
+    return wire.encode(frame)
+
+
+def add_remote_target(server: solo.Solo) -> int:
+    """Add a target whose home is the second member; return its id."""
+    names = [solo.HOST, solo.PEER]
+    number = next(n for n in range(100, 200) if rendezvous.pick(n, names) == solo.PEER)
+    part = server.balancer.store.parsed[objects.SHEET_PART_PREFIX + "1"]
+    assert isinstance(part, objects.SheetPart)
+    remote = part.targets[0].model_copy(update={"name": "order-desk-2", "id": number})
+    sheet = part.model_copy(update={"targets": (*part.targets, remote)})
+    solo.apply(server.balancer, objects.SHEET_PART_PREFIX + "1", 50, sheet)
+    return number
+
+
+def cases_of(server: solo.Solo, bare: CountedSocket) -> list[Case]:
+    """Return the cases; the first is the bare relay."""
+    remote = add_remote_target(server)
+    out = CountedSocket(server.balancer.callers)
+    server.balancer.callers = out
+    own = request(server, solo.TARGET)
+    caller = server.caller.extra(anyio.abc.SocketAttribute.local_address)
+    relayed = wire.Relayed(1, 0, (str(caller[0]), int(caller[1])), 0, own)
+    sealed = peering.seal_relayed(server.codec, relayed)
+    return [
+        Case("bare relay", own, (RELAY_ADDRESS, 7000), bare),
+        # A repeated request: the home decodes, verifies, looks up, and replies.
+        Case("at the home", own, server.callers, out),
+        Case("relay to the home", request(server, remote), server.callers, out),
+        Case("at the home, relayed", sealed, server.callers, out),
+    ]
+
+
+async def bench_packets(turns: int, profile: bool) -> dict[str, list[float]]:
+    """Return the processor time of one packet for each case and turn."""
+    times: dict[str, list[float]] = {}
+    sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    with sink, sender:
+        async with solo.running(with_peer=True) as server:
+            sink.bind((solo.peer_address(server.peers[0]), 7000))
+            # Nothing sends heartbeats for the second member.
+            server.balancer.members.peers[solo.PEER].dead_at = math.inf
+            bare = CountedSocket(await datagrams.open_socket((RELAY_ADDRESS, 7000)))
+            cases = cases_of(server, bare)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(relay_bare, bare, sink.getsockname())
+                # The first copy is queued without a reply.
+                sender.sendto(cases[1].datagram, cases[1].address)
+                await anyio.sleep(0.1)
+                for case in cases:
+                    await measure(case, sender)
+                profiler = cProfile.Profile()
+                for _ in range(turns):
+                    for case in cases:
+                        if profile and case is not cases[0]:
+                            profiler.enable()
+                        times.setdefault(case.name, []).append(
+                            await measure(case, sender)
+                        )
+                        profiler.disable()
+                if profile:
+                    pstats.Stats(profiler).sort_stats("tottime").print_stats(25)
+                tasks.cancel_scope.cancel()
+            await bare.aclose()
+    return times
+
+
+def bench_functions(turns: int) -> dict[str, list[float]]:
+    """Return the time of one call in seconds of each step of the path."""
+    ring = tokens.KeyRing()
+    ring.add(1, solo.KEY)
+    codec = peering.Codec(bytes.fromhex(solo.SECRET))
+    placement = tokens.Placement(solo.SERVICE, solo.TARGET, 1, solo.NEVER)
+    token = tokens.mint(ring, placement, FLOW)
+    frame = wire.Frame(
+        wire.Kind.REQUEST, solo.SERVICE, FLOW, 1, token=token, body=bytes(BODY_BYTES)
+    )
+    datagram = wire.encode(frame)
+    relayed = wire.Relayed(1, 0, ("127.0.0.1", 9), 0, datagram)
+    sealed = peering.seal_relayed(codec, relayed)
+    steps: dict[str, collections.abc.Callable[[], object]] = {
+        "decode": lambda: wire.decode(datagram),
+        "verify token": lambda: tokens.verify(ring, token, FLOW, solo.SERVICE, 0.0),
+        "encode": lambda: wire.encode(frame),
+        "seal relayed": lambda: peering.seal_relayed(codec, relayed),
+        "open relayed": lambda: peering.open_relayed(codec, sealed),
+    }
+    times: dict[str, list[float]] = {}
+    for _ in range(turns):
+        for name, step in steps.items():
+            spent = timeit.timeit(step, number=2_000, timer=time.process_time)
+            times.setdefault(name, []).append(spent / 2_000)
+    return times
+
+
+def allocated(fill: collections.abc.Callable[[], object]) -> float:
+    """Return the bytes that `fill` allocates and keeps, per `STATE_COUNT`."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = fill()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return (after - before) / STATE_COUNT
+
+
+async def bench_state() -> dict[str, float]:
+    """Return the bytes that one flow, request, and open occupy."""
+    async with solo.running() as server:
+        entry = server.balancer.homes.homes[solo.TARGET]
+        bodies = [
+            wire.decode(
+                wire.encode(
+                    wire.Frame(
+                        wire.Kind.REQUEST,
+                        solo.SERVICE,
+                        flow,
+                        request=1,
+                        deadline_ms=client.now_ms() + 30_000,
+                        body=bytes(BODY_BYTES),
+                    )
+                )
+            ).unwrap()
+            for flow in range(1, STATE_COUNT + 1)
+        ]
+
+        def flows() -> None:
+            for number in range(STATE_COUNT):
+                entry.touch_flow(number << 40)
+
+        def records(state: home.RecordState) -> list[home.Record]:
+            return [
+                home.Record(
+                    frame.flow,
+                    1,
+                    False,
+                    frame.deadline_ms,
+                    state,
+                    ("127.0.0.1", 9),
+                    0.0,
+                    keep_until_ms=frame.deadline_ms + 2_000,
+                    frame=frame if state is home.RecordState.QUEUED else None,
+                )
+                for frame in bodies
+            ]
+
+        def table(state: home.RecordState) -> dict[tuple[int, int], home.Record]:
+            return {record.key: record for record in records(state)}
+
+        def opens() -> None:
+            opener: opening.Opener = server.balancer.opener
+            for number in range(STATE_COUNT):
+                frame = wire.Frame(wire.Kind.OPEN, solo.SERVICE, number << 40)
+                opener.decide(frame)
+
+        queued = table(home.RecordState.QUEUED)
+        frame_bytes = allocated(
+            lambda: [
+                wire.decode(wire.encode(r.frame)) for r in queued.values() if r.frame
+            ]
+        )
+        return {
+            "flow at its home": allocated(flows),
+            "ended request (record kept)": allocated(
+                lambda: table(home.RecordState.UNKNOWN)
+            ),
+            f"frame of a queued request ({BODY_BYTES}-byte body)": frame_bytes,
+            "open in the owner's memory (10 s)": allocated(opens),
+        }
+
+
+def summarise(
+    packets: dict[str, list[float]],
+    functions: dict[str, list[float]],
+    state: dict[str, float],
+) -> dict[str, dict[str, float]]:
+    """Return medians as ratios to the bare relay, paired by turn."""
+    bare = packets["bare relay"]
+    ratios = {
+        name: statistics.median(t / b for t, b in zip(times, bare, strict=True))
+        for name, times in packets.items()
+    }
+    ratios["whole path with the extra hop"] = statistics.median(
+        (relay + at_home) / b
+        for relay, at_home, b in zip(
+            packets["relay to the home"],
+            packets["at the home, relayed"],
+            bare,
+            strict=True,
+        )
+    )
+    unit = statistics.median(bare)
+    return {
+        "packets": ratios,
+        "functions": {
+            name: statistics.median(times) / unit for name, times in functions.items()
+        },
+        "state_bytes": state,
+    }
+
+
+def show(summary: dict[str, dict[str, float]]) -> None:
+    """Print the tables."""
+    titles = {
+        "packets": "processor time of a packet, bare UDP relay = 1",
+        "functions": "time of a step, bare UDP relay of a packet = 1",
+        "state_bytes": "bytes of state",
+    }
+    for part, values in summary.items():
+        print(titles[part])
+        for name, value in values.items():
+            shown = f"{value:10.0f}" if part == "state_bytes" else f"{value:10.2f}"
+            print(f"  {name:45}{shown}")
+
+
+@fire.decorators.SetParseFn(str)
+def main(turns: str = "15", profile: str = "") -> None:
+    """Measure the packet path; print tables and write JSON to ``out``.
+
+    Parameters
+    ----------
+    turns : str
+        How often each case is measured.
+    profile : str
+        Anything but an empty text profiles the packets first.
+    """
+    count = int(turns)
+    packets = anyio.run(bench_packets, count, bool(profile))
+    functions = bench_functions(count)
+    state = anyio.run(bench_state)
+    summary = summarise(packets, functions, state)
+    show(summary)
+    OUT.parent.mkdir(exist_ok=True)
+    OUT.write_text(json.dumps(summary, indent=2) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    fire.Fire(main, name="pathbench")
