--- a/lab/pathbench.py
+++ b/lab/pathbench.py
@@ -46,6 +46,31 @@
 FLOW = 77
 
 
+class PlainSocket:
+    """UDP socket of anyio and nothing else.
+
+    Parameters
+    ----------
+    udp : anyio.abc.UDPSocket
+        The socket.
+    """
+
+    def __init__(self, udp: anyio.abc.UDPSocket) -> None:
+        self.udp = udp
+
+    async def sendto(self, data: bytes, host: str, port: int) -> None:
+        """Send a datagram."""
+        await self.udp.sendto(data, host, port)
+
+    async def receive(self) -> tuple[bytes, tuple[str, int]]:
+        """Return the next datagram and its sender."""
+        return await self.udp.receive()
+
+    async def aclose(self) -> None:
+        """Close the socket."""
+        await self.udp.aclose()
+
+
 class CountedSocket:
     """Socket that tells when a number of datagrams has been sent.
 
@@ -167,7 +192,10 @@
             sink.bind((solo.peer_address(server.peers[0]), 7000))
             # Nothing sends heartbeats for the second member.
             server.balancer.members.peers[solo.PEER].dead_at = math.inf
-            bare = CountedSocket(await datagrams.open_socket((RELAY_ADDRESS, 7000)))
+            udp = await anyio.create_udp_socket(
+                local_host=RELAY_ADDRESS, local_port=7000
+            )
+            bare = CountedSocket(PlainSocket(udp))
             cases = cases_of(server, bare)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(relay_bare, bare, sink.getsockname())
