--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -134,10 +134,6 @@
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
         self.on_change: collections.abc.Callable[[], None] = lambda: None
         self.tasks: anyio.abc.TaskGroup | None = None
-        # Homes by target, as each packet asks for one. `changed` empties it;
-        # `homes_left` is the value of `leaving` for which it holds.
-        self.homes: dict[int, objects.Member | None] = {}
-        self.homes_left = False
         store.subscribe(self.on_object)
 
     # Queries.
@@ -173,14 +169,9 @@
 
     def home_of(self, target: int) -> objects.Member | None:
         """Return the home of a target of this domain, a staying member if any."""
-        if self.homes_left != self.leaving:
-            self.homes.clear()
-            self.homes_left = self.leaving
-        if target not in self.homes:
-            members = self.members()
-            name = rendezvous.pick(target, self.staying() or members)
-            self.homes[target] = members[name] if name is not None else None
-        return self.homes[target]
+        members = self.members()
+        name = rendezvous.pick(target, self.staying() or members)
+        return members[name] if name is not None else None
 
     def staying(self) -> list[str]:
         """Return the members that are neither leaving nor held for dead."""
@@ -229,11 +220,6 @@
         peer = self.peers.get(host)
         return peer is not None and anyio.current_time() < peer.dead_at
 
-    def changed(self) -> None:
-        """Follow a change of who is home of which target."""
-        self.homes.clear()
-        self.on_change()
-
     # Views.
 
     def on_object(self, stored: objects.StoredObject) -> None:
@@ -297,7 +283,7 @@
             epoch=view.epoch,
             members=",".join(m.host for m in view.members),
         )
-        self.changed()
+        self.on_change()
 
     async def write_view(
         self, members: collections.abc.Sequence[objects.Member], why: str
@@ -432,7 +418,7 @@
         if not peer.withheld:
             peer.withheld = True
             logs.event(LOGGER.warning, "peer_dead", peer=peer.member.host)
-            self.changed()
+            self.on_change()
         # Lower ranks wait a little, so that one writer usually suffices.
         alive = [name for name in self.members() if self.is_alive(name)]
         order = rendezvous.rank(self.epoch, alive).index(self.me.host)
@@ -456,7 +442,6 @@
         """Write a view without this host; members do it if the platform is down."""
         self.stopped = True
         self.ended.add((self.me.host, self.me.incarnation))
-        self.homes.clear()
         for _ in range(FAREWELL_COPIES):
             for peer in list(self.peers.values()):
                 await self.send_heartbeat(peer)
@@ -490,7 +475,7 @@
         pause = interval_s(len(self.peers) + 1)
         if peer.withheld and not peer.removal_pending:
             peer.withheld = False
-            self.changed()
+            self.on_change()
         peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
         peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
         peer.newest_sent_us = message.sent_us
@@ -503,7 +488,7 @@
         peer.loads = message.loads or []
         if message.leaving and not peer.leaving:
             peer.leaving = True
-            self.changed()
+            self.on_change()
         if message.echo_us and message.epoch == self.epoch:
             until = message.echo_us / MICROSECONDS + LEASE_S
             peer.granted_until = max(peer.granted_until, until)
@@ -519,7 +504,7 @@
         self.ended.add(key)
         self.note_ended(host, incarnation)
         logs.event(LOGGER.info, "member_ended", peer=host, incarnation=incarnation)
-        self.changed()
+        self.on_change()
 
     def note_ended(self, host: str, incarnation: int) -> None:
         """Remember a proof of end beyond the view that it concerns."""
