Announce the end of a host only after its handovers are taken

A leaving host counted as idle as soon as it had packed its last handover. Its farewell could overtake the handover; the new home then started without the records and replied UNKNOWN (home_changed) to repeated requests for a minute, and a late copy of a first attempt could have run twice.

--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -59,6 +59,8 @@
         self.homes: dict[int, home.Home] = {}
         # Homes handed over whose last requests still run here.
         self.departing: dict[int, list[home.Home]] = {}
+        # Handovers that no new home has taken yet.
+        self.handing_over: set[home.Home] = set()
         self.assignment: dict[int, objects.Member] = {}
         self.tasks: anyio.abc.TaskGroup | None = None
         self.incarnation = members.me.incarnation
@@ -84,7 +86,13 @@
         ]
 
     def is_idle(self) -> bool:
-        """Tell whether no request runs here and no answer is left."""
+        """Tell whether no request runs here, and no answer or handover is left.
+
+        A host that announced its end before a handover was taken would let the new
+        home start without its records.
+        """
+        if self.handing_over:
+            return False
         leaving = [entry for group in self.departing.values() for entry in group]
         return all(entry.is_idle() for entry in [*self.homes.values(), *leaving])
 
@@ -202,6 +210,7 @@
             self.members.me.host, self.members.me.incarnation, self.members.epoch
         )
         self.departing.setdefault(number, []).append(entry)
+        self.handing_over.add(entry)
         if self.tasks is not None:
             self.tasks.start_soon(self.send_handover, entry, handover)
 
@@ -213,6 +222,7 @@
             if member is None:
                 break
             if member == self.members.me:
+                self.handing_over.discard(entry)
                 await self.take_back(entry, handover)
                 return
             address = settings.split_address(member.peers)
@@ -224,6 +234,7 @@
                 break
             metrics.HANDOVERS.inc({"direction": "out", "outcome": "retried"})
             await anyio.sleep(HANDOVER_RETRY_S)
+        self.handing_over.discard(entry)
         await self.finish_departing(entry)
 
     async def take_back(self, entry: home.Home, handover: typing.Any) -> None:
--- a/features/hardening.feature
+++ b/features/hardening.feature
@@ -40,6 +40,10 @@
     When a hardened home gets one handover twice
     Then the hardened home loaded it once and accepted both copies
 
+  Scenario: A leaving host waits until its handover is taken
+    When a hardened balancer's peer takes a handover only after a while
+    Then the hardened balancer was not ready to stop before and was after
+
   Scenario Outline: Wrong settings end the start with one line
     When the hardened balancer starts with <change>
     Then the hardened start ends with status 2 and one line with <words>
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -9,6 +9,7 @@
 import tempfile
 
 import anyio
+import anyio.streams.buffered
 import behave
 import httpx
 import hypothesis
@@ -306,6 +307,57 @@
     assert context.taken == 1, context.taken
 
 
+async def take_handover(server, stream):
+    """Answer one call as the second member."""
+    reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
+    challenge = bytes(peering.CHALLENGE_BYTES)
+    await stream.send(challenge)
+    datagram = await peering.receive_stream(reader)
+    field, _ = server.codec.decode(datagram, peering.CALL + challenge).unwrap()
+    assert field == "handover", field
+    answer = server.codec.encode(
+        "acknowledgement", ttypes.Acknowledgement(True, 0), peering.REPLY + challenge
+    )
+    await peering.send_stream(stream, answer)
+
+
+@behave.when("a hardened balancer's peer takes a handover only after a while")
+def take_late(context):
+    """Announce that the host leaves; its peer listens for calls later."""
+
+    async def run():
+        async with solo.running(with_peer=True) as server:
+            process = server.balancer
+            process.members.leaving = True
+            process.on_view_change()
+            await anyio.sleep(0.3)
+            context.idle = [process.homes.is_idle()]
+            host = solo.peer_address(server.peers[0])
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=server.peers[1]
+            )
+            async with listener, anyio.create_task_group() as tasks:
+
+                async def serve(stream):
+                    async with stream:
+                        await take_handover(server, stream)
+
+                tasks.start_soon(listener.serve, serve)
+                with anyio.move_on_after(10):
+                    while not process.homes.is_idle():
+                        await anyio.sleep(0.02)
+                tasks.cancel_scope.cancel()
+            context.idle.append(process.homes.is_idle())
+
+    anyio.run(run)
+
+
+@behave.then("the hardened balancer was not ready to stop before and was after")
+def check_idle(context):
+    """Compare the readiness to stop before and after the handover."""
+    assert context.idle == [False, True], context.idle
+
+
 GOOD_SETTINGS = {
     "host": {"name": "a", "failure_domain": "b"},
     "listen": {
