--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -19,6 +19,7 @@
 
 from basilgate import (
     admin,
+    clock,
     configsync,
     datagrams,
     effective,
@@ -55,7 +56,7 @@
 UPKEEP_S = 1.0
 PING_INTERVAL_S = 1.0
 # The lifetime of a datagram in the fabric, and twice the bound of clock skew.
-PING_LIFETIME_S = home.DATAGRAM_LIFETIME_S + 2 * membership.CLOCK_SKEW_S
+PING_LIFETIME_S = membership.DATAGRAM_LIFETIME_S + 2 * membership.CLOCK_SKEW_S
 DOMAIN_UNREACHABLE_S = 3.0
 STOP_POLL_S = 0.1
 # Peers hold a host that is silent for longer for dead.
@@ -306,7 +307,7 @@
             await self.on_open(frame, datagram, caller, hops)
             return
         verified = tokens.verify(
-            self.ring, frame.token, frame.flow, frame.service, time.time()
+            self.ring, frame.token, frame.flow, frame.service, clock.unix_s()
         )
         if isinstance(verified, result.Failure):
             drop(verified.failure())
@@ -485,7 +486,7 @@
 
     async def on_ping(self, message: typing.Any, address: tuple[str, int]) -> None:
         """Note that another domain is reachable, and answer."""
-        if abs(time.time() - message.sent_ms / 1000) > PING_LIFETIME_S:
+        if abs(clock.unix_s() - message.sent_ms / 1000) > PING_LIFETIME_S:
             drop(reasons.Reason.STALE)
             return
         now = anyio.current_time()
@@ -504,7 +505,7 @@
             self.store.revision,
             self.store.digest,
             reply_wanted,
-            sent_ms=home.now_ms(),
+            sent_ms=clock.unix_ms(),
         )
         context = peering.context_of(address)
         return self.codec.encode("domain_ping", message, context)
@@ -634,7 +635,7 @@
             await anyio.sleep(UPKEEP_S)
             self.opener.forget()
             expiry = self.effective.next_expiry_s
-            if expiry is not None and expiry <= time.time():
+            if expiry is not None and expiry <= clock.unix_s():
                 self.load_config()
 
     async def run(self) -> None:
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -29,6 +29,14 @@
 HANDOVER_RETRY_S = 0.1
 UPKEEP_S = 0.25
 
+Call = collections.abc.Callable[
+    [peering.Codec, tuple[str, int], str, typing.Any],
+    collections.abc.Awaitable[result.Result[tuple[str, typing.Any], reasons.Reason]],
+]
+ServeSlot = collections.abc.Callable[
+    [home.Home, int], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+
 LOAD_HEALTHY = 1
 LOAD_DRAINING = 2
 
@@ -64,6 +72,9 @@
         self.assignment: dict[int, objects.Member] = {}
         self.tasks: anyio.abc.TaskGroup | None = None
         self.incarnation = members.me.incarnation
+        # Replaced in tests that use no sockets.
+        self.call: Call = peering.call
+        self.serve_slot: ServeSlot = slots.serve
         self.on_started: collections.abc.Callable[[home.Home], None] = lambda _: None
 
     # Queries.
@@ -152,12 +163,9 @@
         if entry.former is None:
             return
         host, incarnation = entry.former
-        if self.members.has_ended(host, incarnation):
-            entry.former = None
-            entry.takeover(0.0, "", complete=False)
-        elif (host, incarnation) in self.members.identities():
-            withheld = self.members.is_withheld(host)
-            entry.takeover(math.inf, "" if withheld else host, complete=False)
+        if self.members.may_return(host, incarnation):
+            silent = self.members.is_withheld(host)
+            entry.takeover(math.inf, "" if silent else host, complete=False)
         else:
             entry.former = None
             entry.takeover(
@@ -180,7 +188,7 @@
         with entry.scope:
             async with anyio.create_task_group() as tasks:
                 for number in range(entry.target.slots):
-                    tasks.start_soon(slots.serve, entry, number)
+                    tasks.start_soon(self.serve_slot, entry, number)
                 while True:
                     await entry.expire()
                     await anyio.sleep(UPKEEP_S)
@@ -226,7 +234,7 @@
                 await self.take_back(entry, handover)
                 return
             address = settings.split_address(member.peers)
-            answer = await peering.call(self.codec, address, "handover", handover)
+            answer = await self.call(self.codec, address, "handover", handover)
             if accepted(answer):
                 entry.handed_over_to = member.host
                 entry.log("handed_over", to=member.host)
@@ -287,7 +295,7 @@
             if member is None or member == self.members.me:
                 return
             address = settings.split_address(member.peers)
-            answer = await peering.call(self.codec, address, "completion", message)
+            answer = await self.call(self.codec, address, "completion", message)
             if accepted(answer):
                 return
             await anyio.sleep(HANDOVER_RETRY_S)
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -12,6 +12,7 @@
 import anyio
 import anyio.abc
 import logbook
+import pydantic
 from returns import result
 
 from basilgate import (
@@ -37,13 +38,19 @@
 DEAD_AFTER_INTERVAL_S = 1.7
 LEASE_S = 5.0
 CLOCK_SKEW_S = 0.25
-TAKEOVER_WAIT_S = LEASE_S + CLOCK_SKEW_S
-# A joiner that reaches no member for this long may remove members.
+# A copy of a datagram does not arrive later than this after its first copy.
+DATAGRAM_LIFETIME_S = 2.0
+# The former home may forward until its lease ends, and a duplicate of what it
+# forwarded last may arrive here within a datagram's lifetime.
+TAKEOVER_WAIT_S = LEASE_S + CLOCK_SKEW_S + DATAGRAM_LIFETIME_S
+# A joiner does not wait for the confirmation of a member silent for this long.
 JOIN_ALONE_S = 30.0
 JOIN_RETRY_S = 0.5
 # The last heartbeat is repeated because a datagram can be lost.
 FAREWELL_COPIES = 3
 FAREWELL_PAUSE_S = 0.02
+REMOVAL_STAGGER_S = 0.05
+MAX_REMOVAL_STAGGER_S = 0.3
 MICROSECONDS = 1_000_000
 
 Send = collections.abc.Callable[
@@ -72,6 +79,9 @@
     withheld: bool = False
     # A removal was written and its outcome is not known yet.
     removal_pending: bool = False
+    # Incarnation of a later process at the same address, 0 for none. Only one
+    # process can have the address, so the member itself has ended.
+    successor: int = 0
     loads: list[typing.Any] = dataclasses.field(default_factory=list)
     scope: anyio.CancelScope = dataclasses.field(default_factory=anyio.CancelScope)
 
@@ -120,16 +130,17 @@
         self.platform = platform
         self.codec = codec
         self.send = send
+        self.rng = random.Random(me.incarnation)
         self.view: objects.View | None = None
         self.peers: dict[str, Peer] = {}
+        # Members that announced that they stopped, by host and incarnation.
         self.ended: set[tuple[str, int]] = set()
-        # Proofs of end that are kept after the view changed, by host.
-        self.ended_incarnations: dict[str, int] = {}
         self.carried_lease = 0.0
         self.joined_epoch = 0
         self.full = False
-        self.alone_at = anyio.current_time() + JOIN_ALONE_S
         self.leaving = False
+        # Newest sending time in a heartbeat.
+        self.sent_us = 0
         self.stopped = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
         self.on_change: collections.abc.Callable[[], None] = lambda: None
@@ -159,6 +170,19 @@
 
     def members(self) -> dict[str, objects.Member]:
         """Return the members of the view that have not ended, by host."""
+        return {
+            name: member
+            for name, member in self.lenders().items()
+            if name not in self.peers or not self.peers[name].successor
+        }
+
+    def lenders(self) -> dict[str, objects.Member]:
+        """Return the members whose echo a lease needs, this one included.
+
+        The echo of a restarted member comes from its successor: without it, a
+        member that others have removed could keep its lease. A member that
+        announced its end removes nobody any more.
+        """
         if self.view is None:
             return {}
         return {
@@ -193,18 +217,16 @@
         peer = self.peers.get(host)
         return peer is not None and peer.leaving
 
-    def has_ended(self, host: str, incarnation: int) -> bool:
-        """Tell whether there is proof that a member runs no more work."""
-        return (
-            host,
-            incarnation,
-        ) in self.ended or self.ended_incarnations.get(host, 0) >= incarnation
+    def may_return(self, host: str, incarnation: int) -> bool:
+        """Tell whether a member may still run work or hand it over."""
+        member = self.members().get(host)
+        return member is not None and member.incarnation == incarnation
 
     def lease_until(self) -> float:
         """Return the monotonic time until which non-idempotent work may start."""
         if not self.is_member():
             return self.carried_lease
-        others = [name for name in self.members() if name != self.me.host]
+        others = [name for name in self.lenders() if name != self.me.host]
         if not others:
             return anyio.current_time() + LEASE_S
         granted = min(
@@ -251,17 +273,12 @@
             self.full = False
             self.me = self.me.model_copy(update={"incarnation": new_incarnation()})
         current = self.identities()
-        for host, incarnation in self.ended:
-            self.note_ended(host, incarnation)
         self.ended &= current
         for name, peer in list(self.peers.items()):
             if (name, peer.member.incarnation) not in current:
                 peer.scope.cancel()
                 del self.peers[name]
             peer.removal_pending = False
-        for member in view.members:
-            # Only one process can have the address: an earlier one has ended.
-            self.note_ended(member.host, member.incarnation - 1)
         now = anyio.current_time()
         pause = interval_s(len(view.members))
         for member in view.members:
@@ -300,8 +317,11 @@
         )
         if isinstance(answer, result.Success):
             logs.event(LOGGER.info, "view_written", epoch=view.epoch, why=why)
-            self.store.apply(answer.unwrap())
-            await self.push_view()
+            written = answer.unwrap()
+            former = self.view
+            self.store.apply(written)
+            if held is not None and former is not None:
+                await self.push_view(former, held.version, written)
             return True
         logs.event(
             LOGGER.info,
@@ -322,19 +342,32 @@
             return True
         return answer.failure().kind is platformapi.ProblemKind.NOT_FOUND
 
-    async def push_view(self) -> None:
-        """Send the adopted view to the other members at once."""
-        stored = self.store.stored.get(self.view_name)
-        if stored is None:
+    async def push_view(
+        self, former: objects.View, base_version: int, written: objects.StoredObject
+    ) -> None:
+        """Send the difference of a view that this host wrote to the members."""
+        view = self.store.parsed.get(self.view_name)
+        if not isinstance(view, objects.View) or written.value is None:
             return
+        hosts = {member.host for member in view.members}
         message = ttypes.ViewChanged(
-            self.me.host, self.me.incarnation, peering.to_thrift(stored)
+            host=self.me.host,
+            incarnation=self.me.incarnation,
+            base_version=base_version,
+            version=written.version,
+            revision=written.revision,
+            epoch=view.epoch,
+            operation=view.operation,
+            removed=[m.host for m in former.members if m.host not in hosts],
+            added=[
+                member.model_dump_json()
+                for member in view.members
+                if member not in former.members
+            ],
         )
         for peer in list(self.peers.values()):
             context = peering.context_of(peer.address)
             datagram = self.codec.encode("view_changed", message, context)
-            if len(datagram) > peering.MAX_CONTROL_DATAGRAM_BYTES:
-                return
             await self.send(datagram, peer.address)
 
     # Tasks.
@@ -350,7 +383,7 @@
                     await self.join()
                 self.check_full()
                 # Jitter keeps hosts that join together from colliding again.
-                await anyio.sleep(JOIN_RETRY_S * random.uniform(0.2, 1.0))
+                await anyio.sleep(JOIN_RETRY_S * self.rng.uniform(0.2, 1.0))
 
     async def join(self) -> None:
         """Add this host to the view of its domain."""
@@ -369,11 +402,12 @@
         """Become a full member once all others have confirmed the join."""
         if self.full or not self.is_member():
             return
-        others = [peer for name, peer in self.peers.items() if name in self.members()]
-        confirmed = all(peer.heard_epoch >= self.joined_epoch for peer in others)
-        if any(peer.heard_epoch > 0 for peer in others):
-            self.alone_at = anyio.current_time() + JOIN_ALONE_S
-        if confirmed or anyio.current_time() >= self.alone_at:
+        now = anyio.current_time()
+        others = [peer for name, peer in self.peers.items() if name in self.lenders()]
+        if all(
+            peer.heard_epoch >= self.joined_epoch or now >= peer.dead_at + JOIN_ALONE_S
+            for peer in others
+        ):
             self.full = True
             logs.event(LOGGER.info, "member_full", epoch=self.epoch)
 
@@ -389,17 +423,23 @@
                     # taking effect after the echo is given again.
                     await self.write_view(self.view.members, "invalidate_removal")
                 members = len(self.view.members) if self.view is not None else 1
-                await anyio.sleep(interval_s(members))
+                next_at = anyio.current_time() + interval_s(members)
+                if anyio.current_time() < peer.dead_at:
+                    next_at = min(next_at, peer.dead_at)
+                await anyio.sleep_until(next_at)
 
     async def send_heartbeat(self, peer: Peer) -> None:
         """Send one heartbeat; the echo is withheld from a peer held for dead."""
         known = peer.member in (self.view.members if self.view is not None else ())
         echo = peer.newest_sent_us if known and not peer.withheld else 0
+        # Each heartbeat is newer than the one before, or it would count as a copy.
+        now_us = int(anyio.current_time() * MICROSECONDS)
+        self.sent_us = max(self.sent_us + 1, now_us)
         message = ttypes.Heartbeat(
             host=self.me.host,
             incarnation=self.me.incarnation,
             epoch=self.epoch,
-            sent_us=int(anyio.current_time() * MICROSECONDS),
+            sent_us=self.sent_us,
             echo_us=echo,
             config_revision=self.store.revision,
             config_digest=self.store.digest,
@@ -423,7 +463,7 @@
         alive = [name for name in self.members() if self.is_alive(name)]
         order = rendezvous.rank(self.epoch, alive).index(self.me.host)
         epoch = self.epoch
-        await anyio.sleep(0.05 * order)
+        await anyio.sleep(min(REMOVAL_STAGGER_S * order, MAX_REMOVAL_STAGGER_S))
         if self.epoch != epoch or self.view is None:
             return
         dead = {
@@ -459,15 +499,14 @@
         peer = self.peers.get(message.host)
         if peer is None:
             return reasons.Reason.UNKNOWN_PEER
-        if message.incarnation < peer.member.incarnation:
+        if message.incarnation < max(peer.member.incarnation, peer.successor):
             return reasons.Reason.STALE_INCARNATION
-        if message.incarnation > peer.member.incarnation:
-            if address == peer.address:
-                # Only one process can have the address: the former one has ended.
-                self.mark_ended(peer.member.host, peer.member.incarnation)
-            return reasons.Reason.UNKNOWN_PEER
+        if message.incarnation > max(peer.member.incarnation, peer.successor):
+            if address != peer.address:
+                return reasons.Reason.UNKNOWN_PEER
+            self.on_successor(peer, message.incarnation)
         now = anyio.current_time()
-        if message.echo_us > now * MICROSECONDS:
+        if message.echo_us > self.sent_us:
             return reasons.Reason.MALFORMED
         if message.sent_us <= peer.newest_sent_us:
             # A copy proves nothing about the present and must not delay removal.
@@ -496,26 +535,52 @@
             self.mark_ended(entry.host, entry.incarnation)
         return None
 
+    def on_successor(self, peer: Peer, incarnation: int) -> None:
+        """Note that a member was restarted and is not in the view again yet."""
+        peer.successor = incarnation
+        peer.newest_sent_us = 0
+        logs.event(
+            LOGGER.info,
+            "member_restarted",
+            peer=peer.member.host,
+            incarnation=incarnation,
+        )
+        self.on_change()
+
     def mark_ended(self, host: str, incarnation: int) -> None:
-        """Record the proof that a member of the view runs no more work."""
+        """Record that a member of the view has announced its end."""
         key = (host, incarnation)
         if key in self.ended or key not in self.identities():
             return
         self.ended.add(key)
-        self.note_ended(host, incarnation)
         logs.event(LOGGER.info, "member_ended", peer=host, incarnation=incarnation)
         self.on_change()
 
-    def note_ended(self, host: str, incarnation: int) -> None:
-        """Remember a proof of end beyond the view that it concerns."""
-        known = self.ended_incarnations.get(host, 0)
-        self.ended_incarnations[host] = max(known, incarnation)
-
     def on_view_changed(self, message: typing.Any) -> None:
-        """Adopt a view that a peer pushed."""
-        stored = peering.from_thrift(message.view)
-        if stored is not None and stored.name == self.view_name:
-            self.store.apply(stored)
+        """Adopt a view of which a peer pushed the difference."""
+        held = self.store.stored.get(self.view_name)
+        if held is None or self.view is None or held.version != message.base_version:
+            return
+        try:
+            added = [objects.Member.model_validate_json(text) for text in message.added]
+        except pydantic.ValidationError:
+            return
+        replaced = {*message.removed, *(member.host for member in added)}
+        kept = [m for m in self.view.members if m.host not in replaced]
+        view = objects.View(
+            domain=self.domain,
+            epoch=message.epoch,
+            members=(*kept, *added),
+            operation=message.operation,
+        )
+        self.store.apply(
+            objects.StoredObject(
+                self.view_name,
+                message.version,
+                message.revision,
+                view.model_dump(mode="json"),
+            )
+        )
 
 
 def new_incarnation() -> int:
