Bound buffered answers and refuse faulty ones

max_answer_bytes and answer_buffer_bytes were settings without effect, and pieces from a target were joined in the order of arrival whatever their numbers.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -128,6 +128,7 @@
             flow_idle_s=config.limits.flow_idle_s,
         )
         self.homes = homes.Homes(self.members, context, self.codec)
+        self.homes.answer_buffer_bytes = config.limits.answer_buffer_bytes
         self.opener = opening.Opener(
             self.members,
             self.homes,
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -493,6 +493,16 @@
             record.frame, deadline_ms=self.start_by_ms(record), token=wire.EMPTY_TOKEN
         )
 
+    def check_piece(self, record: Record, frame: wire.Frame) -> reasons.Reason:
+        """Return why an answer piece of the target cannot be taken, NONE if it can."""
+        answer = record.answer or Answer(expected=max(frame.pieces, 1))
+        if answer.size + len(frame.body) > self.context.max_answer_bytes:
+            return reasons.Reason.ANSWER_TOO_LARGE
+        in_order = frame.piece == len(answer.pieces) < answer.expected
+        if not in_order or max(frame.pieces, 1) != answer.expected:
+            return reasons.Reason.MALFORMED
+        return reasons.Reason.NONE
+
     async def on_piece(self, record: Record, frame: wire.Frame) -> bool:
         """Take one answer piece from the target; True after the last one."""
         if record.answer is None:
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -72,6 +72,7 @@
         self.assignment: dict[int, objects.Member] = {}
         self.tasks: anyio.abc.TaskGroup | None = None
         self.incarnation = members.me.incarnation
+        self.answer_buffer_bytes: float = math.inf
         # Replaced in tests that use no sockets.
         self.call: Call = peering.call
         self.serve_slot: ServeSlot = slots.serve
@@ -191,8 +192,31 @@
                     tasks.start_soon(self.serve_slot, entry, number)
                 while True:
                     await entry.expire()
+                    self.evict_answers()
                     await anyio.sleep(UPKEEP_S)
 
+    def evict_answers(self) -> None:
+        """Drop the answers that expire first while all together take too much."""
+        leaving = [entry for group in self.departing.values() for entry in group]
+        entries = [*self.homes.values(), *leaving]
+        excess = sum(e.buffered_bytes for e in entries) - self.answer_buffer_bytes
+        if excess <= 0:
+            return
+        kept = [
+            (record.keep_until_ms, number, record)
+            for number, entry in enumerate(entries)
+            for record in entry.records.values()
+            if record.answer is not None and record.answer.complete
+        ]
+        for _, number, record in sorted(kept, key=lambda found: found[:2]):
+            if excess <= 0:
+                return
+            entry = entries[number]
+            before = entry.buffered_bytes
+            entry.drop_answer(record)
+            excess -= before - entry.buffered_bytes
+            metrics.EVICTED.inc({"service": entry.service.name})
+
     def retire(self, entry: home.Home) -> None:
         """Let a home end once its last requests are answered."""
         self.departing.setdefault(entry.target.id, []).append(entry)
--- a/basilgate/metrics.py
+++ b/basilgate/metrics.py
@@ -137,6 +137,9 @@
     "reverts_refused_total", "Objects refused because a newer version is held"
 )
 HANDOVERS = counter("handovers_total", "Changes of home, by direction and outcome")
+EVICTED = counter(
+    "evicted_answers_total", "Answers dropped before their callers had them, by service"
+)
 REFUSED_CONNECTIONS = counter(
     "refused_connections_total", "TLS connections refused, by listener and reason"
 )
--- a/basilgate/slots.py
+++ b/basilgate/slots.py
@@ -152,6 +152,13 @@
             # Late frame of a request that was given up on this connection.
             continue
         if frame.kind is wire.Kind.ANSWER:
+            refused = owner.check_piece(record, frame)
+            if refused is reasons.Reason.ANSWER_TOO_LARGE:
+                await owner.finish(record, home.RecordState.UNKNOWN, refused)
+                return False
+            if refused is not reasons.Reason.NONE:
+                await connection_lost(owner, record)
+                return False
             if await owner.on_piece(record, frame):
                 await owner.finish(record, home.RecordState.ANSWERED)
                 return True
--- a/features/hardening.feature
+++ b/features/hardening.feature
@@ -40,6 +40,21 @@
     When a hardened home gets one handover twice
     Then the hardened home loaded it once and accepted both copies
 
+  Scenario Outline: A faulty answer of a target is not passed on
+    When a target's answer to a hardened home <fault>
+    Then the hardened home reports <reason> and closes the connection
+
+    Examples:
+      | fault                       | reason                 |
+      | skips a piece               | target_connection_lost |
+      | repeats a piece             | target_connection_lost |
+      | changes its number of pieces | target_connection_lost |
+      | is larger than allowed      | answer_too_large       |
+
+  Scenario: Answers that nobody fetches are evicted, the oldest first
+    When a hardened balancer's answers exceed its buffer
+    Then the hardened home has kept the newest, and reports answer_evicted for the oldest
+
   Scenario: A leaving host waits until its handover is taken
     When a hardened balancer's peer takes a handover only after a while
     Then the hardened balancer was not ready to stop before and was after
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -30,7 +30,9 @@
     peering,
     reasons,
     settings,
+    slots,
     tls,
+    wire,
 )
 from lab import fuzz, solo
 from peerproto import ttypes
@@ -307,6 +309,96 @@
     assert context.taken == 1, context.taken
 
 
+def running_record(entry, number):
+    """Return a record of a request that its target is running."""
+    deadline_ms = home.now_ms() + 60_000
+    record = home.Record(
+        flow=1,
+        request=number,
+        idempotent=False,
+        deadline_ms=deadline_ms,
+        state=home.RecordState.RUNNING,
+        caller=("127.0.0.1", 9),
+        arrived_at=anyio.current_time(),
+        keep_until_ms=deadline_ms + number,
+        forwarded=True,
+    )
+    entry.records[record.key] = entry.running[record.key] = record
+    return record
+
+
+@behave.when("a target's answer to a hardened home {fault}")
+def answer_wrongly(context, fault):
+    """Give a slot the pieces of a faulty answer."""
+    body, numbers, counts = b"x", [0, 1], [3, 3]
+    if fault == "skips a piece":
+        numbers = [0, 2]
+    elif fault == "repeats a piece":
+        numbers = [0, 0]
+    elif fault == "changes its number of pieces":
+        counts = [3, 4]
+    else:
+        body = bytes(wire.MAX_BODY_BYTES)
+
+    async def run():
+        async with solo.running() as server:
+            entry = server.balancer.homes.homes[solo.TARGET]
+            entry.context.max_answer_bytes = wire.MAX_BODY_BYTES
+            context.record = running_record(entry, 1)
+            sender, receiver = anyio.create_memory_object_stream(8)
+            slot = slots.Slot(entry, 0, None, receiver)
+            for piece, count in zip(numbers, counts, strict=True):
+                frame = wire.Frame(wire.Kind.ANSWER, solo.SERVICE, 1, 1, body=body)
+                frame.piece, frame.pieces = piece, count
+                await sender.send(frame)
+            with anyio.fail_after(10):
+                context.alive = await slots.take_outcome(slot, context.record)
+
+    anyio.run(run)
+
+
+@behave.then("the hardened home reports {reason} and closes the connection")
+def check_faulty_answer(context, reason):
+    """Check outcome, reason, and that no part of the answer is kept."""
+    assert context.record.state is home.RecordState.UNKNOWN
+    assert reasons.label(context.record.reason) == reason
+    assert context.record.answer is None and not context.alive
+
+
+@behave.when("a hardened balancer's answers exceed its buffer")
+def exceed_buffer(context):
+    """Finish three requests whose answers take 600 of 1,300 bytes each."""
+
+    async def run():
+        async with solo.running() as server:
+            targets = server.balancer.homes
+            entry = targets.homes[solo.TARGET]
+            targets.answer_buffer_bytes = 1_300
+            for number in (1, 2, 3):
+                record = running_record(entry, number)
+                frame = wire.Frame(wire.Kind.ANSWER, solo.SERVICE, 1, number)
+                frame.pieces, frame.body = 1, bytes(600)
+                await entry.on_piece(record, frame)
+                await entry.finish(record, home.RecordState.ANSWERED)
+            targets.evict_answers()
+            context.kept = [r.request for r in entry.records.values() if r.answer]
+            context.buffered = entry.buffered_bytes
+            context.record = entry.records[(1, 1)]
+            await entry.repeat(context.record)
+
+    anyio.run(run)
+
+
+@behave.then(
+    "the hardened home has kept the newest, and reports {reason} for the oldest"
+)
+def check_evicted(context, reason):
+    """Check which answers are left."""
+    assert context.kept == [2, 3], context.kept
+    assert context.buffered == 1_200, context.buffered
+    assert reasons.label(context.record.reason) == reason
+
+
 async def take_handover(server, stream):
     """Answer one call as the second member."""
     reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
