--- a/basilgate/slots.py
+++ b/basilgate/slots.py
@@ -175,16 +175,16 @@
 
 
 async def cancelled(owner: home.Home, record: home.Record, started: bool) -> None:
-    """End a request that the target cancelled."""
+    """End a request that the target cancelled, for its caller or at its deadline."""
+    asked = record.cancel.is_set()
     if started:
-        await owner.finish(
-            record,
-            home.RecordState.UNKNOWN,
-            reasons.Reason.CANCELLED_AFTER_START,
-        )
+        after_start = reasons.Reason.CANCELLED_AFTER_START
+        reason = after_start if asked else reasons.Reason.DEADLINE_PASSED
+        await owner.finish(record, home.RecordState.UNKNOWN, reason)
     else:
         record.forwarded = record.forwards > 1
-        await owner.refuse(record, reasons.Reason.CANCELLED)
+        reason = reasons.Reason.CANCELLED if asked else reasons.Reason.DEADLINE_PASSED
+        await owner.refuse(record, reason)
 
 
 async def not_started(
--- a/features/hardening.feature
+++ b/features/hardening.feature
@@ -51,6 +51,17 @@
       | changes its number of pieces | target_connection_lost |
       | is larger than allowed      | answer_too_large       |
 
+  Scenario Outline: Work stopped at its deadline does not count as cancelled
+    When a target cancels <work> of a hardened home <cause>
+    Then the hardened home reports the outcome <outcome>
+
+    Examples:
+      | work           | cause          | outcome                       |
+      | started work   | for its caller | unknown:cancelled_after_start |
+      | started work   | at its deadline | unknown:deadline_passed      |
+      | unstarted work | for its caller | refused:cancelled             |
+      | unstarted work | at its deadline | refused:deadline_passed      |
+
   Scenario: Answers that nobody fetches are evicted, the oldest first
     When a hardened balancer's answers exceed its buffer
     Then the hardened home has kept the newest, and reports answer_evicted for the oldest
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -365,6 +365,34 @@
     assert context.record.answer is None and not context.alive
 
 
+@behave.when("a target cancels {work} of a hardened home {cause}")
+def cancel_work(context, work, cause):
+    """Give a slot the target's reply to a cancellation."""
+
+    async def run():
+        async with solo.running() as server:
+            entry = server.balancer.homes.homes[solo.TARGET]
+            context.record = running_record(entry, 1)
+            if cause == "for its caller":
+                context.record.cancel.set()
+            sender, receiver = anyio.create_memory_object_stream(1)
+            slot = slots.Slot(entry, 0, None, receiver)
+            frame = wire.Frame(wire.Kind.CANCELLED, solo.SERVICE, 1, 1)
+            frame.flags = wire.FLAG_STARTED if work == "started work" else 0
+            await sender.send(frame)
+            with anyio.fail_after(10):
+                await slots.take_outcome(slot, context.record)
+
+    anyio.run(run)
+
+
+@behave.then("the hardened home reports the outcome {outcome}")
+def check_outcome(context, outcome):
+    """Compare state and reason, as the burn report shows them."""
+    state = context.record.state.name.lower()
+    assert f"{state}:{reasons.label(context.record.reason)}" == outcome
+
+
 @behave.when("a hardened balancer's answers exceed its buffer")
 def exceed_buffer(context):
     """Finish three requests whose answers take 600 of 1,300 bytes each."""
