Join a view only after the configuration has been read

A host whose first listing took longer than its join did not know which member had been home of its targets, so it started without waiting for their handovers. The hook may_join of Membership is set by the balancer.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -149,6 +149,7 @@
             config.platform.watch_timeout_s,
         )
         self.store.subscribe(self.on_object)
+        self.members.may_join = self.has_listed
         self.clock = gauges.LoopClock()
         self.peers_context = peering.context_of(
             settings.split_address(config.listen.peers)
@@ -158,6 +159,10 @@
 
     # Configuration.
 
+    def has_listed(self) -> bool:
+        """Tell whether all objects of the platform have been read once."""
+        return self.sync.watched_revision > 0
+
     def on_object(self, stored: objects.StoredObject) -> None:
         """Bring an applied object into force."""
         if stored.name.startswith(objects.KEY_PREFIX):
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -143,6 +143,9 @@
         self.sent_us = 0
         self.stopped = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
+        # A host that joined before it had the configuration would not know whose
+        # targets it takes over, and would run their requests without the records.
+        self.may_join: collections.abc.Callable[[], bool] = lambda: True
         self.on_change: collections.abc.Callable[[], None] = lambda: None
         self.tasks: anyio.abc.TaskGroup | None = None
         store.subscribe(self.on_object)
@@ -379,7 +382,7 @@
             for peer in self.peers.values():
                 tasks.start_soon(self.attend, peer)
             while True:
-                if not self.is_member() and not self.leaving:
+                if not self.is_member() and not self.leaving and self.may_join():
                     await self.join()
                 self.check_full()
                 # Jitter keeps hosts that join together from colliding again.
--- a/features/hardening.feature
+++ b/features/hardening.feature
@@ -40,6 +40,10 @@
     When a hardened home gets one handover twice
     Then the hardened home loaded it once and accepted both copies
 
+  Scenario: A host joins its view only once it has the configuration
+    When the platform lists its objects to a hardened balancer only after a while
+    Then the hardened balancer joined its view after the listing and not before
+
   Scenario Outline: A faulty answer of a target is not passed on
     When a target's answer to a hardened home <fault>
     Then the hardened home reports <reason> and closes the connection
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -25,9 +25,11 @@
     burnsettings,
     exposition,
     home,
+    membership,
     metrics,
     objects,
     peering,
+    platformapi,
     reasons,
     settings,
     slots,
@@ -309,6 +311,56 @@
     assert context.taken == 1, context.taken
 
 
+@behave.when("the platform lists its objects to a hardened balancer only after a while")
+def list_late(context):
+    """Count the writes of the view before and after the first listing."""
+    not_found = platformapi.Problem(platformapi.ProblemKind.NOT_FOUND)
+    unavailable = platformapi.Problem(platformapi.ProblemKind.UNAVAILABLE)
+    writes = []
+
+    async def run():
+        listed = anyio.Event()
+        process = balancer.Balancer(settings.parse(changed_settings("")).unwrap())
+
+        async def list_objects(prefix=""):
+            await listed.wait()
+            return result.Success(platformapi.Listing(1, []))
+
+        async def get(name):
+            return result.Failure(not_found)
+
+        async def put(name, value, expect_version):
+            writes.append(name)
+            return result.Failure(unavailable)
+
+        async def watch(since, wait_s):
+            return await anyio.sleep_forever()
+
+        process.platform.list, process.platform.get = list_objects, get
+        process.platform.put, process.platform.watch = put, watch
+        async with process.platform, anyio.create_task_group() as tasks:
+            tasks.start_soon(process.sync.run)
+            tasks.start_soon(process.members.run)
+            # Several attempts to join would fall into this time.
+            await anyio.sleep(3 * membership.JOIN_RETRY_S)
+            context.early = len(writes)
+            listed.set()
+            with anyio.fail_after(10):
+                while not writes:
+                    await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    context.writes = writes
+
+
+@behave.then("the hardened balancer joined its view after the listing and not before")
+def check_join(context):
+    """Compare the writes before and after the listing."""
+    assert context.early == 0, context.early
+    assert context.writes[0] == "view/b", context.writes
+
+
 def running_record(entry, number):
     """Return a record of a request that its target is running."""
     deadline_ms = home.now_ms() + 60_000
@@ -495,8 +547,9 @@
     values = {section: dict(keys) for section, keys in GOOD_SETTINGS.items()}
     section, _, rest = change.removeprefix("[").partition("] ")
     key, equals, value = rest.partition(" = ")
-    values.setdefault(section, {})[key] = value
-    if not equals:
+    if equals:
+        values.setdefault(section, {})[key] = value
+    elif section:
         del values[section][key]
     return "".join(
         f"[{section}]\n" + "".join(f"{key} = {value}\n" for key, value in keys.items())
