--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -1,9 +1,7 @@
 """Steps for hardened inputs: decoders, replays, settings, TLS, and health."""
 
 import contextlib
-import datetime
 import io
-import ipaddress
 import pathlib
 import ssl
 import tempfile
@@ -14,10 +12,6 @@
 import httpx
 import hypothesis
 import hypothesis.strategies as st
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509 import oid
 from returns import result
 
 from basilgate import (
@@ -38,6 +32,7 @@
 )
 from lab import fuzz, solo
 from peerproto import ttypes
+from standins import certificates
 
 CODEC = peering.Codec(bytes(32))
 CONTEXT = peering.context_of(("127.0.0.1", 7001))
@@ -163,54 +158,15 @@
     assert set(names.split(", ")) <= set(context.drops), context.drops
 
 
-def state(server):
-    """Return what a refused message must leave alone."""
-    peer = server.balancer.members.peers[solo.PEER]
-    entry = server.balancer.homes.homes.get(solo.TARGET)
-    return {
-        "alive": (peer.suspect_at, peer.dead_at),
-        "lease": (peer.granted_until, server.balancer.members.lease_until()),
-        "echo": peer.newest_sent_us,
-        "leaving": peer.leaving,
-        "ended": set(server.balancer.members.ended),
-        "reachable": dict(server.balancer.reachable_until),
-        "loaded": set(entry.loaded) if entry is not None else None,
-    }
-
-
-async def count_heartbeat(server):
-    """Send a heartbeat that counts and wait until it has; return the datagram."""
-    peer = server.balancer.members.peers[solo.PEER]
-    before = peer.newest_sent_us
-    datagram = await server.send_control("heartbeat", server.heartbeat())
-    with anyio.fail_after(10):
-        while peer.newest_sent_us == before:
-            await anyio.sleep(0.01)
-    return datagram
-
-
-async def play_back_call(server):
-    """Send a handover that was bound to the challenge of an earlier connection."""
-    challenge = bytes(peering.CHALLENGE_BYTES)
-    recorded = server.codec.encode(
-        "handover", server.handover(), peering.CALL + challenge
-    )
-    async with await anyio.connect_tcp(*server.peers) as stream:
-        await stream.receive(peering.CHALLENGE_BYTES)
-        await peering.send_stream(stream, recorded)
-        with contextlib.suppress(anyio.EndOfStream):
-            await stream.receive()
-
-
 async def send_message(server, message):
     """Send one of the messages that have to be refused."""
     if message == "a recorded heartbeat again":
-        recorded = await count_heartbeat(server)
-        before = state(server)
+        recorded = await server.count_heartbeat()
+        before = server.state()
         await server.peer.sendto(recorded, *server.peers)
         return before
-    await count_heartbeat(server)
-    before = state(server)
+    await server.count_heartbeat()
+    before = server.state()
     now_us = int(anyio.current_time() * 1_000_000)
     if message == "a heartbeat recorded for another host":
         context = peering.context_of(("127.0.0.9", 7001))
@@ -236,7 +192,7 @@
         )
         await server.send_control("domain_ping", ping)
     elif message == "a recorded handover call":
-        await play_back_call(server)
+        await server.play_back_handover()
     else:
         sender = {"host": "stranger"}
         if message == "a handover of a former incarnation":
@@ -258,7 +214,7 @@
             with anyio.move_on_after(10):
                 while solo.dropped() == start:
                     await anyio.sleep(0.01)
-            context.after = state(server)
+            context.after = server.state()
             context.drops = {
                 reason: count - start.get(reason, 0)
                 for reason, count in solo.dropped().items()
@@ -479,20 +435,6 @@
     assert reasons.label(context.record.reason) == reason
 
 
-async def take_handover(server, stream):
-    """Answer one call as the second member."""
-    reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
-    challenge = bytes(peering.CHALLENGE_BYTES)
-    await stream.send(challenge)
-    datagram = await peering.receive_stream(reader)
-    field, _ = server.codec.decode(datagram, peering.CALL + challenge).unwrap()
-    assert field == "handover", field
-    answer = server.codec.encode(
-        "acknowledgement", ttypes.Acknowledgement(True, 0), peering.REPLY + challenge
-    )
-    await peering.send_stream(stream, answer)
-
-
 @behave.when("a hardened balancer's peer takes a handover only after a while")
 def take_late(context):
     """Announce that the host leaves; its peer listens for calls later."""
@@ -512,7 +454,7 @@
 
                 async def serve(stream):
                     async with stream:
-                        await take_handover(server, stream)
+                        assert await server.take_call(stream) == "handover"
 
                 tasks.start_soon(listener.serve, serve)
                 with anyio.move_on_after(10):
@@ -573,7 +515,7 @@
         if change == "a file that is not text":
             path.write_bytes(b"\xff\xfe\x00")
         elif change == "a TLS key that is not a key":
-            files = make_certificates(pathlib.Path(folder), "ca")
+            files = certificates.make(pathlib.Path(folder), "ca")
             files.key.write_text("nonsense")
             path.write_text(changed_settings("[tls] ca = " + str(files.ca)))
             with path.open("a") as file:
@@ -590,43 +532,6 @@
     assert len(context.lines) == 1 and words in context.lines[0], context.lines
 
 
-def certificate(subject, key, issuer, issuer_key, is_ca):
-    """Return a throw-away certificate."""
-    now = datetime.datetime.now(datetime.UTC)
-    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, subject)])
-    by = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, issuer)])
-    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
-    builder = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(by)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - datetime.timedelta(hours=1))
-        .not_valid_after(now + datetime.timedelta(hours=1))
-        .add_extension(x509.BasicConstraints(ca=is_ca, path_length=None), True)
-        .add_extension(x509.SubjectAlternativeName([address]), False)
-    )
-    return builder.sign(issuer_key, hashes.SHA256())
-
-
-def make_certificates(folder, ca):
-    """Write a CA, and a certificate of it with its key; return the paths."""
-    ca_key, key = (ec.generate_private_key(ec.SECP256R1()) for _ in range(2))
-    pem = serialization.Encoding.PEM
-    paths = [folder / f"{ca}-{name}.pem" for name in ("certificate", "key", "ca")]
-    own = certificate("host", key, ca, ca_key, is_ca=False)
-    paths[0].write_bytes(own.public_bytes(pem))
-    paths[1].write_bytes(
-        key.private_bytes(
-            pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
-        )
-    )
-    issuer = certificate(ca, ca_key, ca, ca_key, is_ca=True)
-    paths[2].write_bytes(issuer.public_bytes(pem))
-    return settings.TlsSection(certificate=paths[0], key=paths[1], ca=paths[2])
-
-
 def client_context(credentials, folder, own):
     """Return the context of a client with the given credentials."""
     if credentials == "no TLS":
@@ -637,7 +542,7 @@
         return context
     files = own
     if credentials == "a certificate of another CA":
-        other = make_certificates(folder, "other")
+        other = certificates.make(folder, "other")
         # The client trusts the server; only the server refuses.
         files = other.model_copy(update={"ca": own.ca})
     return tls.client_context(files)
@@ -667,7 +572,7 @@
     """Call the balancer over TCP and over HTTP."""
 
     async def run(folder):
-        own = make_certificates(folder, "ca")
+        own = certificates.make(folder, "ca")
         async with solo.running(tls_files=own) as server:
             client_tls = client_context(credentials, folder, own)
             # The check whether the port is open has no TLS and counts as well.
--- a/lab/solo.py
+++ b/lab/solo.py
@@ -10,6 +10,7 @@
 
 import anyio
 import anyio.abc
+import anyio.streams.buffered
 
 from basilgate import (
     balancer,
@@ -124,6 +125,54 @@
                             return reply
         return None
 
+    def state(self) -> dict[str, typing.Any]:
+        """Return what a refused message must leave alone."""
+        members = self.balancer.members
+        peer = members.peers[PEER]
+        entry = self.balancer.homes.homes.get(TARGET)
+        return {
+            "alive": (peer.suspect_at, peer.dead_at),
+            "lease": (peer.granted_until, members.lease_until()),
+            "echo": peer.newest_sent_us,
+            "leaving": peer.leaving,
+            "ended": set(members.ended),
+            "reachable": dict(self.balancer.reachable_until),
+            "loaded": set(entry.loaded) if entry is not None else None,
+        }
+
+    async def count_heartbeat(self) -> bytes:
+        """Send a heartbeat and wait until it counts; return the datagram."""
+        peer = self.balancer.members.peers[PEER]
+        before = peer.newest_sent_us
+        datagram = await self.send_control("heartbeat", self.heartbeat())
+        with anyio.fail_after(START_LIMIT_S):
+            while peer.newest_sent_us == before:
+                await anyio.sleep(0.01)
+        return datagram
+
+    async def play_back_handover(self) -> None:
+        """Send a handover that was bound to the challenge of another connection."""
+        context = peering.CALL + bytes(peering.CHALLENGE_BYTES)
+        recorded = self.codec.encode("handover", self.handover(), context)
+        async with await anyio.connect_tcp(*self.peers) as stream:
+            await stream.receive(peering.CHALLENGE_BYTES)
+            await peering.send_stream(stream, recorded)
+            with contextlib.suppress(anyio.EndOfStream):
+                await stream.receive()
+
+    async def take_call(self, stream: anyio.abc.ByteStream) -> str:
+        """Accept one call as the second member; return the field of its message."""
+        reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
+        challenge = bytes(peering.CHALLENGE_BYTES)
+        await stream.send(challenge)
+        datagram = await peering.receive_stream(reader)
+        field, _ = self.codec.decode(datagram, peering.CALL + challenge).unwrap()
+        answer = ttypes.Acknowledgement(True, 0)
+        context = peering.REPLY + challenge
+        encoded = self.codec.encode("acknowledgement", answer, context)
+        await peering.send_stream(stream, encoded)
+        return field
+
 
 def dropped() -> dict[str, float]:
     """Return the datagrams dropped so far, by reason."""
