--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -141,6 +141,8 @@
         self.joined_epoch = 0
         self.full = False
         self.leaving = False
+        # Newest sending time in a heartbeat.
+        self.sent_us = 0
         self.stopped = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
         # Called with the address of a host that has a newer view.
@@ -151,6 +153,9 @@
         # silence of the members keeps it from joining.
         self.heard: set[str] = set()
         self.join_alone_at = anyio.current_time() + JOIN_ALONE_S
+        # A host that joined before it had the configuration would not know whose
+        # targets it takes over, and would run their requests without the records.
+        self.may_join: collections.abc.Callable[[], bool] = lambda: True
         self.on_change: collections.abc.Callable[[], None] = lambda: None
         self.tasks: anyio.abc.TaskGroup | None = None
         store.subscribe(self.on_object)
@@ -375,8 +380,9 @@
                 if member not in former.members
             ],
         )
-        datagram = self.codec.encode("view_changed", message)
         for peer in list(self.peers.values()):
+            context = peering.context_of(peer.address)
+            datagram = self.codec.encode("view_changed", message, context)
             await self.send(datagram, peer.address)
 
     # Tasks.
@@ -388,7 +394,7 @@
             for peer in self.peers.values():
                 tasks.start_soon(self.attend, peer)
             while True:
-                if not self.is_member() and not self.leaving:
+                if not self.is_member() and not self.leaving and self.may_join():
                     await self.join()
                 self.check_full()
                 # Jitter keeps hosts that join together from colliding again.
@@ -444,11 +450,14 @@
         """Send one heartbeat; the echo is withheld from a peer held for dead."""
         known = peer.member in (self.view.members if self.view is not None else ())
         echo = peer.newest_sent_us if known and not peer.withheld else 0
+        # Each heartbeat is newer than the one before, or it would count as a copy.
+        now_us = int(anyio.current_time() * MICROSECONDS)
+        self.sent_us = max(self.sent_us + 1, now_us)
         message = ttypes.Heartbeat(
             host=self.me.host,
             incarnation=self.me.incarnation,
             epoch=self.epoch,
-            sent_us=int(anyio.current_time() * MICROSECONDS),
+            sent_us=self.sent_us,
             echo_us=echo,
             config_revision=self.store.revision,
             config_digest=self.store.digest,
@@ -456,21 +465,25 @@
             loads=self.loads(),
             ended=[ttypes.EndedMember(host, inc) for host, inc in sorted(self.ended)],
         )
-        await self.send(self.codec.encode("heartbeat", message), peer.address)
+        context = peering.context_of(peer.address)
+        datagram = self.codec.encode("heartbeat", message, context)
+        await self.send(datagram, peer.address)
 
     async def answer_stranger(self, address: tuple[str, int]) -> None:
         """Send a heartbeat that confirms nothing to a host outside the view."""
+        self.sent_us = max(self.sent_us + 1, int(anyio.current_time() * MICROSECONDS))
         message = ttypes.Heartbeat(
             host=self.me.host,
             incarnation=self.me.incarnation,
             epoch=self.epoch,
-            sent_us=int(anyio.current_time() * MICROSECONDS),
+            sent_us=self.sent_us,
             echo_us=0,
             config_revision=self.store.revision,
             config_digest=self.store.digest,
             leaving=self.leaving,
         )
-        await self.send(self.codec.encode("heartbeat", message), address)
+        context = peering.context_of(address)
+        await self.send(self.codec.encode("heartbeat", message, context), address)
 
     def seems_isolated(self) -> bool:
         """Tell whether all of several peers fell silent at about the same time.
@@ -536,7 +549,6 @@
         """Take in a heartbeat; return a reason if it is refused."""
         if message.epoch > self.epoch:
             self.on_behind(address)
-        self.heard.add(message.host)
         peer = self.peers.get(message.host)
         if peer is None:
             if self.is_member() and self.tasks is not None:
@@ -550,15 +562,19 @@
                 return reasons.Reason.UNKNOWN_PEER
             self.on_successor(peer, message.incarnation)
         now = anyio.current_time()
-        if message.echo_us > now * MICROSECONDS:
+        if message.echo_us > self.sent_us:
             return reasons.Reason.MALFORMED
+        if message.sent_us <= peer.newest_sent_us:
+            # A copy proves nothing about the present and must not delay removal.
+            return reasons.Reason.DUPLICATE
         pause = interval_s(len(self.peers) + 1)
         if peer.withheld and not peer.removal_pending:
             peer.withheld = False
             self.on_change()
         peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
         peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
-        peer.newest_sent_us = max(peer.newest_sent_us, message.sent_us)
+        peer.newest_sent_us = message.sent_us
+        self.heard.add(message.host)
         if message.epoch > peer.heard_epoch and self.tasks is not None:
             # An answer at once spares a new epoch the wait for the next interval.
             self.tasks.start_soon(self.send_heartbeat, peer)
--- a/lab/confighosts.py
+++ b/lab/confighosts.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import contextlib
 import datetime
 import typing
 
@@ -13,7 +12,6 @@
 import anyio.abc
 import anyio.streams.buffered
 import httpx
-from returns import result
 
 from basilgate import (
     configsync,
@@ -105,13 +103,13 @@
 
     async def answer(self, stream: anyio.abc.SocketStream) -> None:
         """Answer one sync request of a peer."""
-        reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
         async with stream:
-            with contextlib.suppress(anyio.EndOfStream, anyio.IncompleteRead, OSError):
-                decoded = CODEC.decode(await peering.receive_stream(reader))
-                if isinstance(decoded, result.Success):
-                    reply = configsync.sync_reply(self.store, decoded.unwrap()[1])
-                    await peering.send_stream(stream, CODEC.encode("sync_reply", reply))
+            await peering.answer_call(CODEC, stream, self.reply_to)
+
+    async def reply_to(self, field: str, message: typing.Any) -> tuple[str, typing.Any]:
+        """Return the objects that a peer does not have."""
+        del field
+        return "sync_reply", configsync.sync_reply(self.store, message)
 
     def effective(self) -> effective.EffectiveConfig:
         """Return the configuration in force."""
