--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 bench: venv  ## Run the benchmarks with paired baselines
 	$(BIN)/python -m lab.bench --seed $(SEED)
+	$(BIN)/python -m lab.faultbench --seed $(SEED)
 
 soak: venv  ## Run random faults: SEED=1 MINUTES=2
 	$(BIN)/python -m lab.soak --seed $(SEED) --minutes $(MINUTES)
--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -12,6 +12,7 @@
       | a last request without an answer          | flow_broken         |
       | a start at another target of the service  | flow_broken         |
       | an unknown outcome without a fault        | request_cut         |
+      | a failed open without a fault             | open_failed         |
       | a start at a target of another service    | wrong_service       |
       | an answer to another request              | wrong_answer        |
       | a started request reported as not run     | false_not_run       |
--- a/features/steps/experiments_steps.py
+++ b/features/steps/experiments_steps.py
@@ -90,6 +90,8 @@
         journal.append(start(5, 3, "desk-2"))
     elif what == "an unknown outcome without a fault":
         seen.requests.append(request_seen(5, 3, outcome="unknown"))
+    elif what == "a failed open without a fault":
+        seen.failed_opens.append((BEGAN, 1, "no_target"))
     elif what == "a start at a target of another service":
         journal.append(start(5, 3, "photos-1", idempotent=True))
     elif what == "an answer to another request":
--- a/lab/checker.py
+++ b/lab/checker.py
@@ -129,6 +129,14 @@
             yield Violation("request_cut", request.sent_at, what, request.flow)
 
 
+@check("open_failed")
+def check_opens(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Find opens that failed for which no unplanned fault accounts."""
+    for at, service, reason in evidence.seen.failed_opens:
+        if evidence.is_calm(at, at + load.OPEN_LIMIT_S):
+            yield Violation("open_failed", at, f"open of service {service}: {reason}")
+
+
 @check("wrong_service")
 def check_services(evidence: Evidence) -> collections.abc.Iterator[Violation]:
     """Find packets that reached a target of another service."""
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -53,6 +53,7 @@
     "false_not_run": "untrue 'not run'",
     "run_twice": "non-idempotent requests run twice",
     "request_cut": "requests cut off",
+    "open_failed": "opens that failed",
     "leaving_target_used": "new flows at a leaving target",
     "unclean_stop": "unclean stops",
 }
