--- a/basilgate/effective.py
+++ b/basilgate/effective.py
@@ -6,6 +6,11 @@
 
 from basilgate import objects, replica, settings
 
+# A new token key verifies at once and signs after this time, so that no host gets
+# a token under a key that it does not have: an accepted change is in force
+# everywhere within 15 s.
+KEY_SETTLE = datetime.timedelta(seconds=30)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
@@ -57,26 +62,16 @@
     next_expiry_s: float | None = None
 
 
-def sheet_parts(
-    store: replica.Replica,
-) -> tuple[objects.Sheet | None, list[objects.SheetPart]]:
-    """Return the manifest and its parts; no manifest until all parts are here."""
-    sheet = store.parsed.get(objects.SHEET)
-    if not isinstance(sheet, objects.Sheet):
-        return None, []
-    parts = [store.parsed.get(objects.SHEET_PART_PREFIX + name) for name in sheet.parts]
-    found = [part for part in parts if isinstance(part, objects.SheetPart)]
-    if len(found) != len(parts):
-        return None, []
-    return sheet, found
-
-
 def active_overrides(
     overrides: collections.abc.Iterable[objects.Override], now: datetime.datetime
 ) -> dict[tuple[str, str], objects.Override]:
-    """Return the newest override that has not expired, by service and target."""
+    """Return the newest override that has not expired, by service and target.
+
+    The overrides come in the order in which the platform accepted them, which is
+    the same on every node whatever the operators' clocks say.
+    """
     chosen: dict[tuple[str, str], objects.Override] = {}
-    for override in sorted(overrides, key=lambda o: (o.created_at, o.id)):
+    for override in overrides:
         if override.expires_at is None or override.expires_at > now:
             chosen[(override.service, override.target)] = override
     return chosen
@@ -113,19 +108,20 @@
     )
 
 
-def merge(
-    parts: collections.abc.Iterable[objects.SheetPart],
-    overrides: collections.abc.Iterable[objects.Override],
-    now: datetime.datetime,
-) -> EffectiveConfig:
-    """Return the configuration in force, the same on every node."""
-    config = EffectiveConfig()
-    listed = list(overrides)
-    chosen = active_overrides(listed, now)
-    expiries = [
-        o.expires_at.timestamp() for o in listed if o.expires_at and o.expires_at > now
-    ]
-    config.next_expiry_s = min(expiries, default=None)
+@dataclasses.dataclass(slots=True)
+class Base:
+    """A sheet without overrides, prepared once for many merges."""
+
+    config: EffectiveConfig = dataclasses.field(default_factory=EffectiveConfig)
+    planned: dict[tuple[str, str], objects.SheetTarget] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def prepare(parts: collections.abc.Iterable[objects.SheetPart]) -> Base:
+    """Return the sheet's configuration without overrides."""
+    base = Base()
+    config = base.config
     everything = list(parts)
     for part in everything:
         for domain in part.domains:
@@ -147,20 +143,92 @@
             service_id = config.service_ids.get(target.service)
             if service_id is None:
                 continue
-            override = chosen.get((target.service, target.name))
-            merged = merge_target(target, service_id, override)
+            base.planned[(target.service, target.name)] = target
+            merged = merge_target(target, service_id, None)
             config.targets[merged.id] = merged
             config.by_service[service_id].append(merged)
             config.by_domain.setdefault(merged.domain, []).append(merged)
+    return base
+
+
+def merge(
+    base: Base,
+    overrides: collections.abc.Iterable[objects.Override],
+    now: datetime.datetime,
+) -> EffectiveConfig:
+    """Return the configuration in force, the same on every node.
+
+    Only what overrides touch is built anew: a host merges between requests, and
+    preparing all targets of a large sheet would delay them.
+
+    Parameters
+    ----------
+    base : Base
+        The sheet.
+    overrides : iterable of objects.Override
+        All overrides in the order of their acceptance.
+    now : datetime.datetime
+        Time at which overrides are compared with their end.
+    """
+    listed = list(overrides)
+    expiries = [
+        o.expires_at.timestamp() for o in listed if o.expires_at and o.expires_at > now
+    ]
+    config = dataclasses.replace(
+        base.config,
+        targets=dict(base.config.targets),
+        by_service=dict(base.config.by_service),
+        by_domain=dict(base.config.by_domain),
+        next_expiry_s=min(expiries, default=None),
+    )
+    services, domains = set(), set()
+    for place, override in active_overrides(listed, now).items():
+        target = base.planned.get(place)
+        if target is not None:
+            service_id = config.service_ids[target.service]
+            merged = merge_target(target, service_id, override)
+            config.targets[target.id] = merged
+            services.add(service_id)
+            domains.add(target.failure_domain)
+    for service_id in services:
+        config.by_service[service_id] = [
+            config.targets[t.id] for t in config.by_service[service_id]
+        ]
+    for domain in domains:
+        config.by_domain[domain] = [
+            config.targets[t.id] for t in config.by_domain[domain]
+        ]
     return config
 
 
+def overrides_of(store: replica.Replica) -> list[objects.Override]:
+    """Return the overrides of a replica in the order of their acceptance."""
+    held = store.accepted_order(objects.OVERRIDE_PREFIX)
+    return [value for value in held if isinstance(value, objects.Override)]
+
+
 def from_replica(store: replica.Replica, now: datetime.datetime) -> EffectiveConfig:
     """Return the configuration in force according to a replica."""
-    _, parts = sheet_parts(store)
-    overrides = [
-        value
-        for value in store.under(objects.OVERRIDE_PREFIX).values()
-        if isinstance(value, objects.Override)
+    return merge(prepare(store.sheet_parts()), overrides_of(store), now)
+
+
+def signing_key(
+    keys: collections.abc.Sequence[objects.Key], now: datetime.datetime
+) -> int | None:
+    """Return the id of the key that signs new tokens, None without a key.
+
+    Parameters
+    ----------
+    keys : sequence of objects.Key
+        The keys in the order of their acceptance.
+    now : datetime.datetime
+        Current time; a key signs once every host has had time to receive it.
+    """
+    settled = [
+        key
+        for key in keys
+        if key.created_at is None or now - key.created_at >= KEY_SETTLE
     ]
-    return merge(parts, overrides, now)
+    if settled:
+        return settled[-1].id
+    return keys[0].id if keys else None
