--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -21,6 +21,7 @@
       | a planned stop with status 1              | unclean_stop        |
       | a balancer that goes back a revision      | config_reverted     |
       | a balancer without an override after 4 s  | config_late         |
+      | a running balancer outside the view       | not_member          |
       | a fourth request in flight                | too_many_in_flight  |
 
   Scenario: A run without violations is reported as clean
--- a/features/steps/experiments_steps.py
+++ b/features/steps/experiments_steps.py
@@ -111,6 +111,8 @@
     elif what == "a balancer without an override after 4 s":
         found.happened.append(drained)
         found.samples.append(sample(103.5, 8))
+    elif what == "a running balancer outside the view":
+        found.samples.append(dataclasses.replace(sample(50, 8), member=False))
     else:
         journal.append(start(5, 3, "desk-1", busy=4))
 
--- a/lab/checker.py
+++ b/lab/checker.py
@@ -60,6 +60,7 @@
     digest: int
     epoch: int
     homes: tuple[str, ...] = ()
+    member: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -190,7 +191,9 @@
         number = evidence.targets[happened.subject].id
         since = happened.began_at + LEAVING_BOUND_S
         for flow in evidence.seen.flows.values():
-            if flow.target == number and since < flow.asked_at < happened.ended_at:
+            # The lift may take effect from its first attempt on.
+            in_force = since < flow.asked_at and flow.opened_at < happened.ended_at
+            if flow.target == number and in_force:
                 late_s = flow.asked_at - happened.began_at
                 change = f"the {happened.fault} of {happened.subject}"
                 what = f"new flow {late_s:.2f} s after {change}"
@@ -219,6 +222,19 @@
         newest[key] = sample
 
 
+@check("not_member")
+def check_members(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Find balancers that are not in their domain's view long after all faults."""
+    newest = {sample.host: sample for sample in evidence.samples}
+    end = max((sample.at for sample in newest.values()), default=0.0)
+    for sample in newest.values():
+        running = end - sample.at < 4 * SAMPLE_S
+        calm = evidence.is_calm(sample.at - SAMPLE_S, sample.at)
+        if running and calm and not sample.member:
+            what = f"{sample.host} runs, but is not in the view"
+            yield Violation("not_member", sample.at, what)
+
+
 @check("config_late")
 def check_config_time(evidence: Evidence) -> collections.abc.Iterator[Violation]:
     """Find balancers that did not have an override in force within the bound."""
@@ -258,7 +274,7 @@
         try:
             with anyio.move_on_after(1.0):
                 status = await running.status(name)
-                fields = ("incarnation", "revision", "digest", "epoch")
+                fields = ("incarnation", "revision", "digest", "epoch", "member")
                 values = {field: status[field] for field in fields}
                 homes = tuple(status["homes"])
                 sample = Sample(time.time(), name, homes=homes, **values)
--- a/lab/cluster.py
+++ b/lab/cluster.py
@@ -160,10 +160,10 @@
         name = f"{domain}-{number}"
         address = f"{self.network}.{self.domains[domain]}.{number}"
         host = Host(name, domain, address, self.folder / f"{name}.ini")
+        planned = range(1, self.plan.balancers[domain] + 1)
+        network = address.rpartition(".")[0]
         seeds = ",".join(
-            f"{other.address}:{PEERS_PORT}"
-            for other in self.hosts.values()
-            if other.domain == domain
+            f"{network}.{other}:{PEERS_PORT}" for other in planned if other != number
         )
         host.settings_file.write_text(
             f"[host]\nname = {name}\nfailure_domain = {domain}\n"
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -112,7 +112,7 @@
             await kind.cause(self, happened, event.seconds)
         finally:
             self.held.discard(event.subject)
-            happened.ended_at = time.time()
+            happened.ended_at = happened.ended_at or time.time()
         return happened
 
     def is_present(self, kind: Kind, subject: str) -> bool:
