--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -1,6 +1,5 @@
 """Balancer process of one entry host: sockets, dispatch, and shutdown."""
 
-import datetime
 import pathlib
 import random
 import signal
@@ -156,12 +155,12 @@
         for key in keys:
             self.ring.add(key.id, bytes.fromhex(key.secret))
         self.ring.retain({key.id for key in keys})
-        now = datetime.datetime.now(datetime.UTC)
+        now = clock.utc()
         self.ring.current = effective.signing_key(keys, now) or 0
 
     def load_config(self) -> None:
         """Merge sheet and overrides; an incomplete sheet changes nothing."""
-        now = datetime.datetime.now(datetime.UTC)
+        now = clock.utc()
         if self.base_version != self.store.sheet_version:
             self.base = effective.prepare(self.store.sheet_parts())
             self.base_version = self.store.sheet_version
@@ -550,7 +549,7 @@
             self.observer(),
             parameters.get("service", ""),
             parameters.get("target", ""),
-            datetime.datetime.now(datetime.UTC),
+            clock.utc(),
         )
 
     def status(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
--- a/basilgate/clock.py
+++ b/basilgate/clock.py
@@ -3,6 +3,7 @@
 Time that must not jump (leases, timeouts) comes from `anyio.current_time`.
 """
 
+import datetime
 import time
 
 
@@ -14,3 +15,8 @@
 def unix_ms() -> int:
     """Return Unix time in milliseconds."""
     return int(unix_s() * 1000)
+
+
+def utc() -> datetime.datetime:
+    """Return the current time in UTC."""
+    return datetime.datetime.fromtimestamp(unix_s(), datetime.UTC)
--- a/basilgate/cmdline.py
+++ b/basilgate/cmdline.py
@@ -14,7 +14,7 @@
 import httpx
 import pydantic
 
-from basilgate import commands, errors, objects, outcomes, platformapi, queries
+from basilgate import clock, commands, errors, objects, outcomes, platformapi, queries
 
 PLATFORM_VARIABLE = "BASILGATE_PLATFORM"
 ADMINS_VARIABLE = "BASILGATE_ADMINS"
@@ -182,7 +182,7 @@
     expires: str,
 ) -> objects.Override:
     """Return the override that the arguments describe; its id is chosen later."""
-    now = commands.now_utc()
+    now = clock.utc()
     if (kind == "weight") != bool(weight):
         raise errors.UsageError("--weight belongs to the kind weight, and is needed")
     try:
--- a/basilgate/commands.py
+++ b/basilgate/commands.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from basilgate import (
+    clock,
     explaining,
     objects,
     outcomes,
@@ -30,11 +31,6 @@
 ROTATION_MARGIN_S = 600.0
 
 
-def now_utc() -> datetime.datetime:
-    """Return the current time."""
-    return datetime.datetime.now(datetime.UTC)
-
-
 async def with_force(
     session: queries.Session,
     outcome: outcomes.Outcome,
@@ -151,7 +147,7 @@
     held = read.unwrap()
     if held.version != planned_version:
         return sheet_conflict(held, planned_version)
-    overrides = await queries.held_overrides(session.platform, now_utc())
+    overrides = await queries.held_overrides(session.platform, clock.utc())
     if isinstance(overrides, result.Failure):
         return outcomes.not_read(overrides.failure(), "the overrides")
     removed = await clean_up(session.platform, held)
@@ -162,10 +158,10 @@
         return outcomes.not_read(problem, "back a part of the sheet")
     manifest = objects.Sheet(
         operation=uuid.uuid4().hex,
-        date=content.date or now_utc().date(),
+        date=content.date or clock.utc().date(),
         planner=content.planner,
         applied_by=operator,
-        applied_at=now_utc(),
+        applied_at=clock.utc(),
         parts=tuple(parts),
     )
     written = await session.platform.put(
@@ -276,7 +272,7 @@
     refused = await check_target(session.platform, service, target)
     if refused is not None:
         return refused
-    read = await queries.held_overrides(session.platform, now_utc())
+    read = await queries.held_overrides(session.platform, clock.utc())
     if isinstance(read, result.Failure):
         return outcomes.not_read(read.failure(), "the overrides")
     found = read.unwrap()
@@ -322,7 +318,7 @@
     outcome: outcomes.Outcome,
 ) -> None:
     """Report overrides of the target that a colleague set in the same moment."""
-    read = await queries.held_overrides(session.platform, now_utc())
+    read = await queries.held_overrides(session.platform, clock.utc())
     if isinstance(read, result.Failure):
         return
     known = {entry.value.id for entry in seen} | {mine.id}
@@ -343,7 +339,7 @@
     found: collections.abc.Iterable[queries.HeldOverride],
 ) -> None:
     """Remove a few overrides that ended long ago."""
-    long_ago = now_utc() - EXPIRED_KEPT
+    long_ago = clock.utc() - EXPIRED_KEPT
     ended = [e for e in found if explaining.has_expired(e.value, long_ago)]
     for entry in ended[:EXPIRED_REMOVED_AT_ONCE]:
         await platform.delete(objects.OVERRIDE_PREFIX + entry.value.id, entry.version)
@@ -405,7 +401,7 @@
         id=free[0],
         secret=secrets.token_hex(KEY_BYTES),
         created_by=operator,
-        created_at=now_utc(),
+        created_at=clock.utc(),
     )
     name = f"{objects.KEY_PREFIX}{key.id}"
     written = await session.platform.put(name, key.model_dump(mode="json"), 0)
@@ -415,7 +411,7 @@
     for (stored, old), (_, successor) in zip(keys, keys[1:], strict=False):
         kept_s = token_lifetime_s + ROTATION_MARGIN_S
         since = successor.created_at
-        if since is not None and (now_utc() - since).total_seconds() > kept_s:
+        if since is not None and (clock.utc() - since).total_seconds() > kept_s:
             gone = await session.platform.delete(stored.name, stored.version)
             if isinstance(gone, result.Success):
                 retired.append(old.id)
--- a/basilgate/queries.py
+++ b/basilgate/queries.py
@@ -9,7 +9,15 @@
 import httpx
 from returns import result
 
-from basilgate import effective, explaining, objects, outcomes, platformapi, sheet
+from basilgate import (
+    clock,
+    effective,
+    explaining,
+    objects,
+    outcomes,
+    platformapi,
+    sheet,
+)
 
 HOST_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.2
@@ -376,7 +384,7 @@
     held = await held_sheet(session.platform)
     if isinstance(held, result.Failure):
         return no_answer(held.failure(), "the sheet")
-    now = datetime.datetime.now(datetime.UTC)
+    now = clock.utc()
     overrides = await held_overrides(session.platform, now)
     if isinstance(overrides, result.Failure):
         return no_answer(overrides.failure(), "the overrides")
@@ -392,7 +400,7 @@
 
 async def list_overrides(session: Session) -> outcomes.Outcome:
     """List all overrides with their state and the version for removal."""
-    now = datetime.datetime.now(datetime.UTC)
+    now = clock.utc()
     found = await held_overrides(session.platform, now)
     if isinstance(found, result.Failure):
         return no_answer(found.failure(), "the overrides")
@@ -427,7 +435,7 @@
             (host.name, host.domain, revision, digest, host.source or NOT_HEARD)
         )
     lines = [
-        f"{outcomes.utc(datetime.datetime.now(datetime.UTC))} revision {newest}, "
+        f"{outcomes.utc(clock.utc())} revision {newest}, "
         + ("all hosts agree" if len(digests) == 1 else "hosts differ"),
         *outcomes.table(rows),
     ]
--- a/lab/configbench.py
+++ b/lab/configbench.py
@@ -21,7 +21,7 @@
 import anyio
 from returns import result
 
-from basilgate import commands, effective, objects, platformapi, queries, replica
+from basilgate import clock, commands, effective, objects, platformapi, queries, replica
 from basilgate import sheet as sheets
 from lab import cluster, confighosts
 from standins import platform as platform_standin
@@ -178,7 +178,7 @@
             service=target.service.name,
             target=target.name,
             operator="bench",
-            created_at=commands.now_utc(),
+            created_at=clock.utc(),
         )
         key = objects.OVERRIDE_PREFIX + name
         written = await self.client.put(key, value.model_dump(mode="json"), 0)
@@ -406,7 +406,7 @@
             target=target.name,
             operator="bench",
             reason="maintenance of the rack",
-            created_at=commands.now_utc(),
+            created_at=clock.utc(),
         )
         for number, target in enumerate(chosen)
     ]
@@ -424,7 +424,7 @@
     others = sheets.divide(dataclasses.replace(content, targets=tuple(changed)))
     manifest = objects.Sheet(
         date=datetime.date(2026, 12, 4),
-        applied_at=commands.now_utc(),
+        applied_at=clock.utc(),
         parts=tuple(parts),
     )
     stored = [
@@ -448,7 +448,7 @@
 
     load_s, store = timed(load, 3)
     memory_bytes = memory_of(stored)
-    now = commands.now_utc()
+    now = clock.utc()
     prepare_s, base = timed(lambda: effective.prepare(store.sheet_parts()))
     merge_s, merged = timed(
         lambda: effective.merge(base, effective.overrides_of(store), now)
@@ -478,7 +478,7 @@
     store = replica.Replica()
     store.apply_all(objects.StoredObject(*json.loads(text)) for text in texts)
     base = effective.prepare(store.sheet_parts())
-    merged = effective.merge(base, effective.overrides_of(store), commands.now_utc())
+    merged = effective.merge(base, effective.overrides_of(store), clock.utc())
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert len(merged.targets) == TARGETS
@@ -551,7 +551,7 @@
         service="service-1",
         target="target-1",
         operator="bench",
-        created_at=commands.now_utc(),
+        created_at=clock.utc(),
     )
     standin.store.write("override/late", value.model_dump(mode="json"))
     started = time.monotonic()
