--- a/basilgate/configsync.py
+++ b/basilgate/configsync.py
@@ -89,6 +89,8 @@
         self.digest_compared = 0
         # Peers of other domains seen with another digest, to sync from.
         self.behind: set[Source] = set()
+        # Hosts that have a newer view than this one.
+        self.newer_views: set[tuple[str, int]] = set()
         # Peers that had nothing new for the digest that this host has.
         self.futile: set[Source] = set()
 
@@ -217,6 +219,10 @@
 
     def sources(self) -> list[Source]:
         """Return the peers that may have newer objects, with their digests."""
+        if self.newer_views:
+            urgent = sorted(self.newer_views)
+            self.newer_views.clear()
+            return [(address, 0) for address in urgent]
         if not self.store.complete_revision and self.platform_lost_at is not None:
             known = [peer.address for peer in self.members.peers.values()]
             return [(address, 0) for address in [*known, *self.seeds]]
@@ -238,6 +244,10 @@
         self.behind.clear()
         return sorted(found - self.futile)
 
+    def note_behind(self, address: tuple[str, int]) -> None:
+        """Note a host that has a newer view; it is asked without delay."""
+        self.newer_views.add(address)
+
     def on_peer_digest(
         self, address: tuple[str, int], revision: int, digest: int
     ) -> None:
--- a/basilgate/opening.py
+++ b/basilgate/opening.py
@@ -11,6 +11,7 @@
 from basilgate import (
     clock,
     effective,
+    health,
     homes,
     membership,
     metrics,
@@ -24,6 +25,8 @@
 )
 
 OPEN_MEMORY_S = 10.0
+# Share of the weight of a target whose home reports that it ramps up.
+REPORTED_RAMP = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,6 +77,12 @@
         self.recent: dict[int, Opened] = {}
         # Flows placed since the home's last report, by target.
         self.placed: dict[int, int] = {}
+        # Flows placed in the last seconds, by target.
+        self.fresh: dict[int, health.Recent] = {}
+        # Newest load that a home at another host reported, by target.
+        self.reported: dict[int, typing.Any] = {}
+        # Domain that an open was spilled to, and when to forget it (monotonic).
+        self.spilled: dict[int, tuple[str, float]] = {}
         self.is_reachable: collections.abc.Callable[[str], bool] = lambda _: True
 
     # Who decides.
@@ -107,19 +116,14 @@
 
     def candidates(self, service: int) -> list[placement.Candidate]:
         """Return the targets of the own domain that may get a new flow."""
-        reported = {
-            load.target: load
-            for peer in self.members.peers.values()
-            for load in peer.loads
-        }
         found = []
         for target in self.config.by_service.get(service, []):
             if target.domain != self.members.domain or not target.admits:
                 continue
-            candidate = self.candidate(target, reported.get(target.id))
+            candidate = self.candidate(target, self.reported.get(target.id))
             if candidate is not None:
                 found.append(candidate)
-        return found
+        return health.usable(found, lambda candidate: candidate.healthy)
 
     def candidate(
         self, target: effective.Target, reported: typing.Any
@@ -127,21 +131,40 @@
         """Return a target with its load, None if it cannot take a flow."""
         mine = self.own.homes.get(target.id)
         placed = self.placed.get(target.id, 0)
+        recent = self.fresh.get(target.id)
+        fresh = recent.at(anyio.current_time()) if recent is not None else 0.0
         if mine is not None:
-            if not mine.healthy or len(mine.flows) >= target.connections:
+            if len(mine.flows) >= target.connections:
                 return None
             return placement.Candidate(
-                target, len(mine.flows), len(mine.running), len(mine.queue)
+                target,
+                len(mine.flows),
+                mine.slots_in_use(),
+                len(mine.queue),
+                fresh=fresh,
+                utilisation=mine.utilisation(),
+                reported_load=mine.monitor.reported_busy / max(1, target.slots),
+                ramp=mine.monitor.share(anyio.current_time()),
+                healthy=mine.healthy,
+                exact=True,
             )
         if reported is None:
-            return placement.Candidate(target, placed=placed)
+            return placement.Candidate(target, placed=placed, fresh=fresh)
         load = reported
-        if not load.state & homes.LOAD_HEALTHY:
-            return None
         if load.flows + placed >= target.connections:
             return None
+        utilisation = load.utilisation_permille / 1_000
         return placement.Candidate(
-            target, load.flows, load.in_flight, load.queued, placed
+            target,
+            load.flows,
+            load.in_flight,
+            load.queued,
+            placed,
+            fresh,
+            utilisation=utilisation,
+            reported_load=utilisation,
+            ramp=REPORTED_RAMP if load.state & homes.LOAD_RAMPING else 1.0,
+            healthy=bool(load.state & homes.LOAD_HEALTHY),
         )
 
     def remembered(self, flow: int) -> Opened | None:
@@ -165,6 +188,7 @@
             return result.Failure(reasons.Reason.NO_TARGET)
         target = self.policy(found, self.rng).target
         self.placed[target.id] = self.placed.get(target.id, 0) + 1
+        self.fresh.setdefault(target.id, health.Recent()).add(anyio.current_time())
         opened = Opened(
             self.mint(target, frame.flow),
             target.id,
@@ -189,8 +213,11 @@
         now = anyio.current_time()
         for flow in [f for f, o in self.recent.items() if o.forget_at <= now]:
             del self.recent[flow]
+        for flow in [f for f, (_, at) in self.spilled.items() if at <= now]:
+            del self.spilled[flow]
 
     def on_loads(self, loads: collections.abc.Iterable[typing.Any]) -> None:
-        """Reset the counts of flows placed since the homes' last report."""
+        """Take in a report; the flows placed before it are counted in it."""
         for load in loads:
             self.placed.pop(load.target, None)
+            self.reported[load.target] = load
--- a/lab/cluster.py
+++ b/lab/cluster.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import sys
 import tempfile
@@ -15,8 +16,10 @@
 import anyio
 import anyio.abc
 import httpx
+from returns import result
 
-from basilgate import objects
+from basilgate import datagrams, objects, platformapi
+from standins import faultyhost, hostlist
 
 SECRET = "5a" * 32
 CALLERS_PORT = 7000
@@ -27,6 +30,17 @@
 PLATFORM_PORT = 9000
 START_LIMIT_S = 30.0
 STOP_LIMIT_S = 90.0
+CONTROL_TRIES = 5
+CONTROL_WAIT_S = 0.3
+FAULTY_MODULE = "standins.faultyhost"
+INTERRUPTED_STATUS = 130
+OPERATOR_TRIES = 40
+OPERATOR_PAUSE_S = 0.5
+
+Write = collections.abc.Callable[
+    [],
+    collections.abc.Awaitable[result.Result[objects.StoredObject, platformapi.Problem]],
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +62,8 @@
     services: tuple[ServicePlan, ...]
     extra_settings: str = ""
     balancer_module: str = "basilgate.balancer"
+    # Time until the fabric notices that a host has come or gone.
+    fabric_lag_s: float = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,7 +127,9 @@
         self.targets: dict[str, TargetHost] = {}
         self.platform: anyio.abc.Process | None = None
         self.http = httpx.AsyncClient(timeout=5.0, trust_env=False)
+        self.operator = platformapi.PlatformClient(self.platform_url)
         self.processes: list[anyio.abc.Process] = []
+        self.fabric = hostlist.HostList(plan.fabric_lag_s)
 
     def layout(self) -> None:
         """Name and address every host and target."""
@@ -155,11 +173,12 @@
     async def spawn(self, log: str, *command: str) -> anyio.abc.Process:
         """Start a Python module as a process; its output goes to a log file."""
         path = self.folder / f"{log}.log"
-        with path.open("a", encoding="utf-8") as output:
+        # A cancelled run must not lose track of a process that is being started.
+        with path.open("a", encoding="utf-8") as output, anyio.CancelScope(shield=True):
             process = await anyio.open_process(
                 [sys.executable, "-m", *command], stdout=output, stderr=output
             )
-        self.processes.append(process)
+            self.processes.append(process)
         return process
 
     async def start_host(self, name: str) -> None:
@@ -168,6 +187,7 @@
         host.process = await self.spawn(
             name, self.plan.balancer_module, f"--settings_file={host.settings_file}"
         )
+        self.fabric.update(self.caller_addresses())
 
     async def start_target(self, name: str) -> None:
         """Start a target."""
@@ -228,6 +248,40 @@
         body = {"value": value, "expect_version": version}
         (await self.http.put(url, json=body)).raise_for_status()
 
+    async def override(
+        self, kind: str, target: str, **fields: typing.Any
+    ) -> objects.StoredObject | None:
+        """Write an override of a target; None if the platform stays unreachable."""
+        name = f"{objects.OVERRIDE_PREFIX}{kind}-{target}"
+        value = {
+            "id": f"{kind}-{target}",
+            "kind": kind,
+            "service": self.targets[target].service.name,
+            "target": target,
+            "operator": "lab",
+            "reason": "experiment",
+            "created_at": "2026-12-04T06:00:00Z",
+            **fields,
+        }
+        return await self.persist(lambda: self.operator.put(name, value, 0))
+
+    async def remove(self, stored: objects.StoredObject) -> None:
+        """Remove an object that was written before."""
+        await self.persist(lambda: self.operator.delete(stored.name, stored.version))
+
+    async def persist(self, write: Write) -> objects.StoredObject | None:
+        """Repeat a conditional write until it is accepted or settled otherwise."""
+        for _ in range(OPERATOR_TRIES):
+            answer = await write()
+            if isinstance(answer, result.Success):
+                stored: objects.StoredObject = answer.unwrap()
+                return stored
+            kind = answer.failure().kind
+            if kind is platformapi.ProblemKind.NOT_FOUND:
+                return None
+            await anyio.sleep(OPERATOR_PAUSE_S)
+        return None
+
     async def write_configuration(self) -> None:
         """Write the token key and the sheet."""
         await self.write("key/1", {"id": 1, "secret": "17" * 32})
@@ -308,6 +362,9 @@
         process = self.hosts[name].process
         assert process is not None
         process.terminate()
+        self.fabric.update(
+            [h.callers for h in self.hosts.values() if h.process and h.name != name]
+        )
         with anyio.fail_after(STOP_LIMIT_S):
             status = await process.wait()
         self.hosts[name].process = None
@@ -320,6 +377,42 @@
         process.kill()
         await process.wait()
         self.hosts[name].process = None
+        self.fabric.update(self.caller_addresses())
+
+    async def kill_target(self, name: str) -> None:
+        """End a target without warning."""
+        process = self.targets[name].process
+        assert process is not None
+        process.kill()
+        await process.wait()
+        self.targets[name].process = None
+
+    async def set_rules(
+        self, name: str, rules: collections.abc.Sequence[faultyhost.Rule]
+    ) -> bool:
+        """Set the network faults of a host; False if it does not answer."""
+        content = json.dumps([dataclasses.asdict(rule) for rule in rules]).encode()
+        udp = await datagrams.open_socket(("127.0.0.1", 0))
+        try:
+            for _ in range(CONTROL_TRIES):
+                address = self.hosts[name].address
+                await udp.sendto(content, address, faultyhost.CONTROL_PORT)
+                with anyio.move_on_after(CONTROL_WAIT_S):
+                    await udp.receive()
+                    return True
+        finally:
+            await udp.aclose()
+        return False
+
+    def resident_kb(self) -> dict[str, int]:
+        """Return the resident memory of each balancer in kilobytes."""
+        found = {}
+        for host in self.hosts.values():
+            if host.process is not None:
+                status = pathlib.Path(f"/proc/{host.process.pid}/status").read_text()
+                matched = re.search(r"VmRSS:\s+(\d+)", status)
+                found[host.name] = int(matched[1]) if matched else 0
+        return found
 
     def pause_host(self, name: str) -> None:
         """Stop a balancer's execution for a while."""
@@ -337,10 +430,12 @@
         """End every process that was started."""
         for process in self.processes:
             if process.returncode is None:
-                process.kill()
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
         for process in self.processes:
             await process.wait()
         await self.http.aclose()
+        await self.operator.http.aclose()
 
     def caller_addresses(self) -> list[tuple[str, int]]:
         """Return the addresses of the balancers that run."""
@@ -373,6 +468,28 @@
                 await cluster.end()
 
 
+def run_interruptible(
+    function: collections.abc.Callable[..., collections.abc.Awaitable[int]],
+    *arguments: typing.Any,
+) -> int:
+    """Run an experiment and return its status; a signal ends it and its processes."""
+
+    async def end_on_signal(scope: anyio.CancelScope) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                scope.cancel()
+
+    async def run() -> int:
+        status = INTERRUPTED_STATUS
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(end_on_signal, tasks.cancel_scope)
+            status = await function(*arguments)
+            tasks.cancel_scope.cancel()
+        return status
+
+    return anyio.run(run)
+
+
 def show_logs(cluster: Cluster) -> None:
     """Print the end of each log, for a run that did not start."""
     for path in sorted(cluster.folder.glob("*.log")):
--- a/lab/confighosts.py
+++ b/lab/confighosts.py
@@ -6,7 +6,6 @@
 
 import collections.abc
 import contextlib
-import datetime
 import typing
 
 import anyio
@@ -16,6 +15,7 @@
 from returns import result
 
 from basilgate import (
+    clock,
     configsync,
     effective,
     membership,
@@ -115,7 +115,7 @@
 
     def effective(self) -> effective.EffectiveConfig:
         """Return the configuration in force."""
-        return effective.from_replica(self.store, datetime.datetime.now(datetime.UTC))
+        return effective.from_replica(self.store, clock.utc())
 
 
 async def send_nothing(datagram: bytes, address: tuple[str, int]) -> None:
