Explain health with its evidence, and when all targets stay in use

Cause: a target that looks unhealthy together with most others stays in use, and explain reported its health as an obstacle. Change: explain follows the same rule as the choice of targets. Conclusion: explain says what the opener does.

--- a/basilgate/explaining.py
+++ b/basilgate/explaining.py
@@ -5,7 +5,9 @@
 import datetime
 import typing
 
-from basilgate import effective, home, homes, membership, objects, replica
+import anyio
+
+from basilgate import effective, health, home, homes, membership, objects, replica
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,15 +66,32 @@
     }
 
 
-def conflicts_of(target: effective.Target, load: Load | None) -> list[str]:
+def is_suspected(observer: Observer, target: effective.Target) -> bool:
+    """Tell whether so many targets look unhealthy that all of them stay in use."""
+    known = loads(observer)
+    candidates = [
+        other
+        for other in observer.config.by_service.get(target.service, [])
+        if other.admits and other.domain == target.domain
+    ]
+    used = health.usable(candidates, lambda t: t.id not in known or known[t.id].healthy)
+    return target in used
+
+
+def conflicts_of(
+    observer: Observer, target: effective.Target, load: Load | None
+) -> list[str]:
     """Return where the override or the sheet and automation disagree."""
     if load is None or load.healthy or not target.admits:
         return []
+    if is_suspected(observer, target):
+        return ["more than half of the targets look unhealthy; all stay in use"]
     wish = f"override {target.override}" if target.pinned else "the configuration"
     return [f"{wish} wants new flows, but the target is unhealthy"]
 
 
 def obstacles(
+    observer: Observer,
     target: effective.Target,
     sheet_target: objects.SheetTarget,
     override: objects.Override | None,
@@ -89,7 +108,8 @@
             found.append("sheet: state drain")
         if override is None and sheet_target.weight == 0:
             found.append("sheet: weight 0")
-    if load is not None and not load.healthy:
+    ejected = load is not None and not load.healthy
+    if ejected and not (target.admits and is_suspected(observer, target)):
         found.append("health: unhealthy according to its home")
     if load is not None and load.flows >= target.connections:
         found.append(f"load: all {target.connections} connections in use")
@@ -139,8 +159,9 @@
     ]
     in_force = effective.active_overrides(overrides, now).get((service, name))
     load = loads(observer).get(target.id)
-    blocked = obstacles(target, planned, in_force, load)
+    blocked = obstacles(observer, target, planned, in_force, load)
     member = observer.members.home_of(target.id)
+    entry = observer.own.get(target.id)
     local = target.domain == observer.members.domain
     return {
         **answer,
@@ -160,7 +181,8 @@
         "expired": [o.id for o in overrides if has_expired(o, now)],
         "draining": target.leaving,
         "load": dataclasses.asdict(load) if load is not None else None,
-        "conflicts": conflicts_of(target, load),
+        "health": entry.monitor.explain(anyio.current_time()) if entry else None,
+        "conflicts": conflicts_of(observer, target, load),
     }
 
 
@@ -185,7 +207,7 @@
                 "override": target.override,
                 "flows": load.flows if load is not None else None,
                 "healthy": load.healthy if load is not None else None,
-                "conflicts": conflicts_of(target, load),
+                "conflicts": conflicts_of(observer, target, load),
             }
         )
     return found
--- a/basilgate/queries.py
+++ b/basilgate/queries.py
@@ -534,6 +534,9 @@
             f"{health}, {load['flows']} flows, {load['in_flight']} in flight, "
             f"{load['queued']} queued (home {load['host']})"
         )
+    if answer["health"] is not None:
+        evidence = (f"{key} {value}" for key, value in answer["health"].items())
+        lines.append(f"health: {', '.join(evidence)}")
     if answer["draining"]:
         lines.append("draining: listed by `status` until the last flow ends")
     lines += [f"conflict: {conflict}" for conflict in answer["conflicts"]]
