--- a/features/steps/configuration_commands_steps.py
+++ b/features/steps/configuration_commands_steps.py
@@ -22,8 +22,7 @@
     queries,
 )
 from basilgate import sheet as sheets
-from lab import confighosts
-from standins import platform as platform_standin
+from lab import configbench, confighosts
 
 CONTENT = base.content(2, 3)
 PLACE = ("desk-0", "t0")
@@ -32,12 +31,8 @@
 @behave.given("a configuration platform for commands")
 def make_platform(context):
     """Start the stand-in in this process."""
-    behave.use_fixture(base.portal, context)
-    context.platform = platform_standin.Platform()
-    context.outcomes = []
-    pause_s = platformapi.SETTLE_PAUSE_S
-    platformapi.SETTLE_PAUSE_S = 0.01
-    context.add_cleanup(setattr, platformapi, "SETTLE_PAUSE_S", pause_s)
+    behave.use_fixture(base.config_rig, context)
+    context.outcomes, context.silent = [], ()
 
 
 def run(context, action):
@@ -46,12 +41,12 @@
     async def perform():
         session = confighosts.session(
             confighosts.connect(context.platform),
-            getattr(context, "hosts", {}).values(),
-            getattr(context, "silent", ()),
+            context.rig.hosts.values(),
+            context.silent,
         )
         return await action(session)
 
-    return context.portal.call(perform)
+    return context.rig.portal.call(perform)
 
 
 def set_override(context, operator="ana", over="", wait_s=0.0, **changes):
@@ -65,7 +60,7 @@
 
 def apply(context, content, version):
     """Apply a sheet by the command."""
-    text = base.sheet_text(content)
+    text = configbench.ini(content)
     return run(context, lambda s: commands.apply_sheet(s, text, version, "ion"))
 
 
@@ -262,7 +257,7 @@
 
     async def race(session):
         async def apply_it():
-            text = base.sheet_text(context.content)
+            text = configbench.ini(context.content)
             context.outcomes.append(await commands.apply_sheet(session, text, 1, "ion"))
 
         async def pin_it():
@@ -299,7 +294,7 @@
 )
 def check_plan(context):
     """Check the conflict in the plan."""
-    text = base.sheet_text(context.content)
+    text = configbench.ini(context.content)
     outcome = run(context, lambda s: queries.plan(s, text))
     conflict = next(line for line in outcome.lines if line.startswith("conflict"))
     for part in ("pin desk-0/t0", "by ana", "since 2026-12-04T06:00:00Z", "keep it"):
@@ -325,7 +320,7 @@
     context.first = set_override(context)
     name = objects.OVERRIDE_PREFIX + context.first.data["id"]
     held = context.platform.store.objects[name]
-    base.write(context, name, held.value)
+    context.rig.write(name, held.value)
     outcome = run(
         context, lambda s: commands.remove_override(s, context.first.data["id"], 1)
     )
@@ -467,7 +462,7 @@
 @behave.then("it has the configuration that the INI sheet has")
 def check_csv(context):
     """Compare the content."""
-    ini = sheets.parse(base.sheet_text(CONTENT)).unwrap()
+    ini = sheets.parse(configbench.ini(CONTENT)).unwrap()
     assert sheets.parse(csv_text(context.rows)).unwrap() == ini
     assert set(sheets.divide(ini)) == set(sheets.divide(CONTENT))
 
@@ -524,7 +519,7 @@
         client.exchange = delayed
         session = confighosts.session(client)
         content = base.content(120 + choice % 3, 2, weight=choice + 1)
-        text = base.sheet_text(content)
+        text = configbench.ini(content)
         # Operators start at different times, so that one cleans up while another
         # has written parts without their manifest.
         await anyio.sleep(context.rng.random() * 0.03)
@@ -540,7 +535,7 @@
                     tasks.start_soon(one, choice, version, found)
             context.rounds.append((found, follow(context).store.missing_parts()))
 
-    context.portal.call(race)
+    context.rig.portal.call(race)
 
 
 @behave.then(
@@ -583,7 +578,7 @@
             return await put(name, value, version)
 
         session.platform.put = put_after_clean_up
-        text = base.sheet_text(context.first)
+        text = configbench.ini(context.first)
         return await commands.apply_sheet(session, text, 2, "ion")
 
     context.outcomes.append(run(context, apply_first_again))
@@ -644,33 +639,21 @@
 @behave.given("3 configuration hosts of which one is cut off and one does not answer")
 def cut_hosts(context):
     """Run hosts without gossip, and bring views and a sheet into force."""
-    context.hosts, context.running = {}, []
     for name in ("h0", "h1", "h2"):
-        base.start_host(context, name)
-    members = [host.members.me for host in context.hosts.values()]
+        context.rig.start_host(name)
+    members = [host.members.me for host in context.rig.hosts.values()]
     view = objects.View(domain="suceava", epoch=1, members=tuple(members))
-    base.write(context, "view/suceava", base.value_of(view))
+    context.rig.write("view/suceava", base.value_of(view))
     assert apply(context, CONTENT, 0).exit == 0
-    base.wait_until(context, base.everywhere(context))
-    context.portal.call(exchange_digests, context.hosts)
-    base.cut(context.hosts["h1"], True)
+    context.rig.settle()
+    context.rig.portal.call(exchange_digests, context.rig.hosts)
     context.silent = ("h2",)
-    context.hosts["h0"].members.peers["h2"].dead_at = 0.0
-    context.add_cleanup(end_hosts, context.running)
 
 
 async def exchange_digests(hosts):
-    """Exchange digests once; the watch that h1 has open still ends."""
-    with anyio.move_on_after(base.confighosts.GOSSIP_INTERVAL_S / 2):
+    """Exchange digests once."""
+    with anyio.move_on_after(confighosts.GOSSIP_INTERVAL_S / 2):
         await confighosts.gossip(list(hosts.values()))
-    await anyio.sleep(0.6)
-
-
-def end_hosts(running):
-    """End the hosts' tasks."""
-    for task in running:
-        with contextlib.suppress(Exception):
-            task.cancel()
 
 
 @behave.when("an operator sets a configuration override and waits")
@@ -678,9 +661,9 @@
     """Wait for a while; two hosts cannot have it."""
     for name in ("h1", "h2"):
         # No repair between peers, so the state stays as it is.
-        context.hosts[name].sync.sources = list
-        base.cut(context.hosts[name], True)
-    context.portal.call(anyio.sleep, 0.7)
+        context.rig.hosts[name].sync.sources = list
+        context.rig.cut(name)
+    context.rig.portal.call(anyio.sleep, 0.7)
     set_override(context, wait_s=1.0)
 
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -5,19 +5,16 @@
 import itertools
 import logging
 
-import anyio
-import anyio.from_thread
 import behave
 
 from basilgate import commands, configsync, metrics, objects, platformapi, replica
 from basilgate import sheet as sheets
-from lab import confighosts
+from lab import configbench, confighosts, configrig
 from standins import platform as platform_standin
 
 logging.getLogger("httpx").setLevel(logging.WARNING)
 
 NAME = "override/o.1"
-WAIT_LIMIT_S = 30.0
 CREATED_AT = datetime.datetime(2026, 12, 4, 6, 0, tzinfo=datetime.UTC)
 
 
@@ -305,117 +302,30 @@
 
 
 @behave.fixture
-def portal(context):
-    """Run an event loop beside the scenario."""
-    with anyio.from_thread.start_blocking_portal() as context.portal:
+def config_rig(context):
+    """Run the stand-in platform; steps start hosts."""
+    with configrig.running() as context.rig:
+        context.platform = context.rig.platform
         yield
 
 
-@behave.fixture
-def config_hosts(context, count):
-    """Run hosts that follow the stand-in platform in this process."""
-    context.platform = platform_standin.Platform()
-    context.hosts, context.running = {}, []
-
-    async def exchange():
-        while True:
-            with anyio.move_on_after(confighosts.GOSSIP_INTERVAL_S):
-                await confighosts.gossip(list(context.hosts.values()))
-
-    context.slow_answer_s = platformapi.SLOW_ANSWER_S
-    platformapi.SLOW_ANSWER_S = 0.5
-    context.running.append(context.portal.start_task_soon(exchange))
-    for number in range(count):
-        start_host(context, f"h{number}")
-    yield
-    platformapi.SLOW_ANSWER_S = context.slow_answer_s
-    for task in context.running:
-        task.cancel()
-
-
-def start_host(context, name):
-    """Start a host; its replica is empty."""
-    client = context.portal.call(make_client, context.platform)
-    host = confighosts.ConfigHost(name, "suceava", client)
-    future, _ = context.portal.start_task(host.run)
-    context.running.append(future)
-    context.hosts[name] = host
-    return host
-
-
-async def make_client(platform):
-    """Return a client in the event loop that uses it."""
-    return confighosts.connect(platform)
-
-
-def cut(host, is_cut):
-    """Make every call of one host fail, or end that."""
-
-    async def refuse(*args, **options):
-        kind = platformapi.ProblemKind.UNAVAILABLE
-        return platformapi.result.Failure(platformapi.Problem(kind))
-
-    if is_cut:
-        host.client.exchange = refuse
-    else:
-        del host.client.exchange
-
-
-def write(context, name, value):
-    """Write an object in the platform's event loop."""
-
-    async def put():
-        return context.platform.store.write(name, value)
-
-    return context.portal.call(put)
-
-
-def wait_until(context, check):
-    """Wait until a check holds; the limit only guards against hanging."""
-
-    async def wait():
-        with anyio.fail_after(WAIT_LIMIT_S):
-            while not check():
-                await anyio.sleep(0.02)
-
-    context.portal.call(wait)
-
-
-def everywhere(context, **versions):
-    """Return a check that all hosts have exactly the platform's live objects."""
-
-    def check():
-        newest = {
-            name: found.version
-            for name, found in context.platform.store.objects.items()
-            if found.value is not None and not objects.is_part(name)
-        }
-        return all(h.store.live_versions() == newest for h in context.hosts.values())
-
-    return check
-
-
-def check_no_reverts(context):
-    """Check that no host ever stepped back."""
-    for host in context.hosts.values():
-        assert host.reverts == [], host.reverts
-
-
 @behave.given("a configuration platform and {count:d} hosts")
 def run_hosts(context, count):
     """Start the stand-in and hosts."""
-    behave.use_fixture(portal, context)
-    behave.use_fixture(config_hosts, context, count)
-    write(context, "key/1", {"id": 1, "secret": "17" * 32})
-    wait_until(context, everywhere(context))
+    behave.use_fixture(config_rig, context)
+    context.rig.start_gossip()
+    for number in range(count):
+        context.rig.start_host(f"h{number}")
+    context.rig.write("key/1", {"id": 1, "secret": "17" * 32})
+    context.rig.settle()
 
 
 @behave.given("an accepted configuration override")
 def accept_override(context):
     """Accept an override and let it reach all hosts."""
     context.before = context.platform.store.revision
-    write(context, NAME, value_of(override()))
-    wait_until(context, everywhere(context))
+    context.rig.write(NAME, value_of(override()))
+    context.rig.settle()
 
 
 @behave.when("the platform answers from before the override and its watches end")
@@ -423,11 +333,10 @@
     """Fail over to a store that lags behind, for several reads."""
     context.platform.faults.stale_revision = context.before
     calls = dict(context.platform.calls)
-    wait_until(
-        context,
+    context.rig.wait_until(
         lambda: (
             context.platform.calls.get("GET /objects", 0)
-            >= calls.get("GET /objects", 0) + 2 * len(context.hosts)
+            >= calls.get("GET /objects", 0) + 2 * len(context.rig.hosts)
         ),
     )
 
@@ -435,31 +344,29 @@
 @behave.then("the configuration override stays in force on all hosts")
 def check_in_force(context):
     """Check that no host stepped back."""
-    assert everywhere(context)()
-    check_no_reverts(context)
+    assert context.rig.agrees()
+    context.rig.settle()
 
 
 @behave.then("later changes of the configuration arrive after the platform caught up")
 def catch_up(context):
     """End the fault and change the override."""
     context.platform.faults.stale_revision = 0
-    write(context, NAME, value_of(override("changed")))
-    wait_until(context, everywhere(context))
-    check_no_reverts(context)
+    context.rig.write(NAME, value_of(override("changed")))
+    context.rig.settle()
 
 
 @behave.when("watches stall and a configuration override is accepted")
 def stall(context):
     """Let no watch end any more."""
     context.platform.faults.stall_watches = True
-    write(context, NAME, value_of(override()))
+    context.rig.write(NAME, value_of(override()))
 
 
 @behave.then("the configuration override comes into force on all hosts")
 def check_arrives(context):
     """Wait for the override."""
-    wait_until(context, everywhere(context))
-    check_no_reverts(context)
+    context.rig.settle()
 
 
 @behave.when(
@@ -471,14 +378,13 @@
     for step in range(10):
         name = f"override/o.{step % 4}"
         value = None if step in (5, 9) else value_of(override(id=f"o.{step % 4}"))
-        write(context, name, value)
+        context.rig.write(name, value)
 
 
 @behave.then("all configuration hosts have what the platform holds")
 def check_all(context):
     """Wait until all hosts agree with the platform."""
-    wait_until(context, everywhere(context))
-    check_no_reverts(context)
+    context.rig.settle()
 
 
 @behave.when("each answer takes longer than the time limit of configuration writes")
@@ -486,7 +392,7 @@
     """Delay answers, and accept an override."""
     platformapi.SLOW_ANSWER_S = 5.0
     context.platform.faults.answer_delay_s = 0.5
-    write(context, NAME, value_of(override()))
+    context.rig.write(NAME, value_of(override()))
 
 
 @behave.then(
@@ -500,7 +406,7 @@
         client.timeout_s = 0.2
         return await client.put(NAME, value_of(override("second")), 1)
 
-    assert context.portal.call(put).unwrap().version == 2
+    assert context.rig.portal.call(put).unwrap().version == 2
     assert context.platform.store.objects[NAME].version == 2
 
 
@@ -510,7 +416,7 @@
 def restart_in_outage(context):
     """Restart h0 while h1 still has the state before the override."""
     context.platform.faults.down = True
-    older = context.hosts["h1"]
+    older = context.rig.hosts["h1"]
     earlier = context.platform.store.as_of(context.before)
 
     async def step_back():
@@ -522,32 +428,30 @@
         older.store.apply_all(earlier.objects.values())
         older.store.complete(context.before)
 
-    context.portal.call(step_back)
-    context.running[1].cancel()
-    start_host(context, "h0")
+    context.rig.portal.call(step_back)
+    context.rig.start_host("h0")
 
 
 @behave.then("the restarted configuration host has the override in force")
 def check_restarted(context):
     """Wait until h0 and the older peer have the override."""
-    wait_until(context, everywhere(context))
+    context.rig.settle()
     assert context.platform.faults.down
-    check_no_reverts(context)
 
 
 @behave.when("3 of them lose the platform and a configuration override is accepted")
 def lose_platform(context):
     """Cut three hosts, then accept an override."""
     for name in ("h1", "h2", "h3"):
-        cut(context.hosts[name], True)
-    write(context, NAME, value_of(override()))
+        context.rig.cut(name)
+    context.rig.write(NAME, value_of(override()))
 
 
 @behave.given("a configuration sheet of many parts in force")
 def force_sheet(context):
     """Apply a sheet by the command."""
     apply_content(context, content(150, 3), 0)
-    wait_until(context, everywhere(context))
+    context.rig.settle()
 
 
 def apply_content(context, sheet, version):
@@ -556,34 +460,18 @@
     async def apply():
         session = confighosts.session(confighosts.connect(context.platform))
         return await commands.apply_sheet(
-            session, sheet_text(sheet), version, "ana", 0.0
+            session, configbench.ini(sheet), version, "ana", 0.0
         )
 
-    outcome = context.portal.call(apply)
+    outcome = context.rig.portal.call(apply)
     assert outcome.exit == 0, outcome.lines
     return outcome
 
 
-def sheet_text(sheet):
-    """Return a sheet as INI text."""
-    lines = ["[sheet]", f"date = {sheet.date}"]
-    sections = (
-        ("failure_domain", sheet.domains),
-        ("service", sheet.services),
-        ("target", sheet.targets),
-    )
-    for kind, models in sections:
-        for model in models:
-            lines.append(f"[{kind} {model.name}]")
-            values = model.model_dump(mode="json", exclude={"name"})
-            lines += [f"{key} = {value}" for key, value in values.items()]
-    return "\n".join(lines)
-
-
 @behave.when("one line changes and the configuration sheet is applied again")
 def change_line(context):
     """Change the weight of one target, with the host reading by listing only."""
-    host = context.hosts["h0"]
+    host = context.rig.hosts["h0"]
     context.taken = []
     host.store.subscribe_batches(context.taken.extend)
     apply_content(context, content(150, 3, weight=7), 1)
@@ -592,8 +480,8 @@
 @behave.then("the configuration host has read one more part")
 def check_parts_read(context):
     """Count the parts that were taken over."""
-    wait_until(context, everywhere(context))
+    context.rig.settle()
     parts = [found for found in context.taken if objects.is_part(found.name)]
     assert len(parts) == 1, len(parts)
-    weights = {t.weight for t in context.hosts["h0"].effective().targets.values()}
+    weights = {t.weight for t in context.rig.hosts["h0"].effective().targets.values()}
     assert weights == {7, 100}
