--- a/basilgate/configsync.py
+++ b/basilgate/configsync.py
@@ -26,6 +26,8 @@
 BACKOFF_LIMIT_S = 10.0
 # Digests are compared at this interval. A difference that the watch is about to
 # settle is left alone for one interval while the platform answers.
+# A view that a watch or a peer's push brings arrives within this time anyway.
+NEWER_VIEW_PAUSE_S = 0.2
 REPAIR_INTERVAL_S = 0.4
 # More missing parts than this are read by one listing instead of one by one.
 PARTS_READ_SINGLY = 4
@@ -89,8 +91,9 @@
         self.digest_compared = 0
         # Peers of other domains seen with another digest, to sync from.
         self.behind: set[Source] = set()
-        # Hosts that have a newer view than this one.
-        self.newer_views: set[tuple[str, int]] = set()
+        # Host that has a newer view of the domain, and whether one was seen.
+        self.newer_view = ("", 0)
+        self.newer_view_seen = anyio.Event()
         # Peers that had nothing new for the digest that this host has.
         self.futile: set[Source] = set()
 
@@ -99,6 +102,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follow_platform)
             tasks.start_soon(self.repair)
+            tasks.start_soon(self.follow_newer_views)
 
     async def follow_platform(self) -> None:
         """List once, then watch; start over when the platform says so."""
@@ -219,10 +223,6 @@
 
     def sources(self) -> list[Source]:
         """Return the peers that may have newer objects, with their digests."""
-        if self.newer_views:
-            urgent = sorted(self.newer_views)
-            self.newer_views.clear()
-            return [(address, 0) for address in urgent]
         if not self.store.complete_revision and self.platform_lost_at is not None:
             known = [peer.address for peer in self.members.peers.values()]
             return [(address, 0) for address in [*known, *self.seeds]]
@@ -245,8 +245,17 @@
         return sorted(found - self.futile)
 
     def note_behind(self, address: tuple[str, int]) -> None:
-        """Note a host that has a newer view; it is asked without delay."""
-        self.newer_views.add(address)
+        """Sync at once from a host that has a newer view of the domain."""
+        self.newer_view = address
+        self.newer_view_seen.set()
+
+    async def follow_newer_views(self) -> None:
+        """Sync from hosts that have a newer view, one at a time."""
+        while True:
+            await self.newer_view_seen.wait()
+            self.newer_view_seen = anyio.Event()
+            await self.sync_from(self.newer_view)
+            await anyio.sleep(NEWER_VIEW_PAUSE_S)
 
     def on_peer_digest(
         self, address: tuple[str, int], revision: int, digest: int
