--- a/features/configuration_commands.feature
+++ b/features/configuration_commands.feature
@@ -121,6 +121,12 @@
     Given configuration keys of which the newest was created 10 s ago
     Then the former configuration key signs until 30 s have passed
 
+  Scenario: A configuration key is removed once its last token has expired
+    Given a configuration platform for commands
+    And configuration keys 254 and 255 created 3 and 2 days ago
+    When an operator rotates the configuration key
+    Then configuration key 0 is new, 254 is removed, and 255 is kept
+
   Scenario: A wrong command line ends with the exit code for usage
     Then these configuration command lines end with exit code 2
       | arguments                                                    |
--- a/features/steps/configuration_commands_steps.py
+++ b/features/steps/configuration_commands_steps.py
@@ -699,6 +699,32 @@
     assert effective.signing_key(context.keys, later) == 0
 
 
+@behave.given("configuration keys 254 and 255 created 3 and 2 days ago")
+def write_keys(context):
+    """Write two keys; the newer one is in use for two days."""
+    now = datetime.datetime.now(datetime.UTC)
+    for number, days in ((254, 3), (255, 2)):
+        created = now - datetime.timedelta(days=days)
+        key = objects.Key(id=number, secret="17" * 16, created_at=created)
+        context.rig.write(f"key/{number}", base.value_of(key))
+
+
+@behave.when("an operator rotates the configuration key")
+def rotate(context):
+    """Rotate with tokens that live for a day."""
+    outcome = run(context, lambda s: commands.rotate_key(s, "ana", 86_400.0))
+    assert outcome.exit == 0, outcome
+
+
+@behave.then("configuration key 0 is new, 254 is removed, and 255 is kept")
+def check_keys(context):
+    """Check which keys are left, and that no two have the same secret."""
+    store = context.platform.store
+    held = {name: found.value for name, found in store.objects.items() if found.value}
+    assert sorted(held) == ["key/0", "key/255"]
+    assert held["key/0"]["secret"] != held["key/255"]["secret"]
+
+
 @behave.then("these configuration command lines end with exit code 2")
 def check_usage(context):
     """Run each command line in this process."""
