--- a/lab/confighosts.py
+++ b/lab/confighosts.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import datetime
 import typing
 
 import anyio
@@ -14,6 +13,7 @@
 import httpx
 
 from basilgate import (
+    clock,
     configsync,
     effective,
     membership,
@@ -113,7 +113,7 @@
 
     def effective(self) -> effective.EffectiveConfig:
         """Return the configuration in force."""
-        return effective.from_replica(self.store, datetime.datetime.now(datetime.UTC))
+        return effective.from_replica(self.store, clock.utc())
 
 
 async def send_nothing(datagram: bytes, address: tuple[str, int]) -> None:
