--- a/features/policy.feature
+++ b/features/policy.feature
@@ -116,6 +116,24 @@
     Then its answer carries the token of the other target
     And another copy of it reaches the other target without a second start there
 
+  Scenario: A handover keeps what is known of a request that was passed on
+    Guards against a second run, or "not run", by the next home of the first target.
+    Given a policy rig with 2 targets at 1 hosts
+    When the first home of a retried request is handed over
+    Then the new home neither runs nor refuses it, with the former home or without
+
+  Scenario: A dead target is left out in time
+    Guards against answers from before its death that keep a target in use.
+    Given a target health monitor
+    When it has answered 100 requests and then accepts no connection
+    Then it is out of use after 2 failed probes
+
+  Scenario: Requests that cannot be sent are refused at once
+    Guards against requests that wait for a dead target until their deadline.
+    Given a policy rig with 2 targets at 1 hosts
+    When requests that are not idempotent arrive for a dead target
+    Then they are all refused for target_unhealthy before their deadline
+
   Scenario: Cancellation reaches the queue
     Guards against a cancelled request that runs later.
     Given a policy rig with 1 target
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -352,6 +352,53 @@
     assert 1 <= context.reinstated <= 5, context.reinstated
 
 
+@behave.when("it has answered 100 requests and then accepts no connection")
+def die(context):
+    """Give good outcomes, then failed probes one second apart."""
+    for _ in range(100):
+        context.monitor.on_outcome(True, context.now)
+    context.used = []
+    for _ in range(2):
+        context.now += 1
+        context.monitor.on_probe(False)
+        context.used.append(context.monitor.update(context.now, unreachable=True))
+
+
+@behave.then("it is out of use after 2 failed probes")
+def check_dead(context):
+    """Check the verdict."""
+    assert context.used[-1] is False, context.used
+
+
+@behave.when("requests that are not idempotent arrive for a dead target")
+def to_dead_target(context):
+    """Kill a target and send requests before and after its ejection."""
+
+    async def scenario(rig):
+        rig.open(1)
+        await warm_up(rig, 1)
+        number = rig.target_of(1)
+        rig.targets[number].dead = True
+        rig.targets[number].break_connections()
+        for second in range(4):
+            if second in (1, 2):
+                rig.homes[number].monitor.on_probe(False)
+            for _ in range(3):
+                rig.request(1, WORK_S, 10.0, False)
+            await anyio.sleep(1)
+        await settle(rig, 5.0)
+
+    run(context, scenario)
+
+
+@behave.then("they are all refused for target_unhealthy before their deadline")
+def check_refused_early(context):
+    """Check outcomes and times."""
+    assert context.rig.reasons() == {"refused:target_unhealthy": 12}
+    assert max(e.latency_s for e in context.rig.ended.values()) < 5
+    assert context.rig.untrue_refusals() == 0
+
+
 @behave.when("it is reinstated after an ejection")
 def reinstate(context):
     """Eject by probes, then let them succeed."""
@@ -507,32 +554,66 @@
     assert context.rig.starts()[context.key] == 1
 
 
+def another_copy(context, rig):
+    """Return a copy of a request that its first home has passed on."""
+    flow, request = context.key
+    record = rig.homes[rig.target_of(1)].records[context.key]
+    assert record.state is home.RecordState.PASSED
+    return wire.Frame(
+        wire.Kind.REQUEST,
+        policyrig.SERVICE,
+        flow,
+        request,
+        flags=wire.FLAG_IDEMPOTENT,
+        attempt=1,
+        deadline_ms=record.deadline_ms,
+        token=rig.tokens[flow],
+        body=b"200000",
+    )
+
+
 @behave.when("a started request is retried and answered")
 def retried_and_answered(context):
     """Send another copy while the request runs at its second target."""
 
     async def copy(rig, other):
         await anyio.sleep(0.05)
-        flow, request = context.key
-        record = rig.homes[rig.target_of(1)].records[context.key]
-        assert record.state is home.RecordState.PASSED
-        frame = wire.Frame(
-            wire.Kind.REQUEST,
-            policyrig.SERVICE,
-            flow,
-            request,
-            flags=wire.FLAG_IDEMPOTENT,
-            attempt=1,
-            deadline_ms=record.deadline_ms,
-            token=rig.tokens[flow],
-            body=b"200000",
-        )
-        rig.deliver(frame, ("127.0.0.1", 1), "")
+        rig.deliver(another_copy(context, rig), ("127.0.0.1", 1), "")
         context.other = other
 
     lose_started(context, save_budget, copy)
 
 
+@behave.when("the first home of a retried request is handed over")
+def passed_and_handed_over(context):
+    """Export the first home and send a copy of the request to its successor."""
+
+    async def hand_over(rig, other):
+        await anyio.sleep(0.05)
+        old = rig.homes[rig.target_of(1)]
+        frame = another_copy(context, rig)
+        handover = old.export("a-0", 1, 1)
+        heir = home.Home(old.target, old.service, old.context)
+        heir.awaiting_from = "a-0"
+        await heir.load(handover)
+        await heir.on_frame(frame, ("127.0.0.1", 1))
+        record = heir.records[context.key]
+        context.heir = [(record.former, record.state, len(heir.queue))]
+        heir.former_lost("a-0")
+        context.heir.append((record.former, record.state, len(heir.queue)))
+
+    lose_started(context, save_budget, hand_over)
+
+
+@behave.then(
+    "the new home neither runs nor refuses it, with the former home or without"
+)
+def check_heir_of_passed(context):
+    """Check the record at the new home."""
+    states = home.RecordState
+    assert context.heir == [("a-0", states.PASSED, 0), ("", states.UNKNOWN, 0)]
+
+
 @behave.then("its answer carries the token of the other target")
 def check_token(context):
     """Check where the caller is led."""
