Keep rendezvous choices between changes of the membership

Cause: the home of a target was chosen anew for each packet and for each target at each change of the view: a choice among 69 members takes 23.5 us, besides the list of members and of those that stay, built each time. Change: Membership keeps both until it changes, and rendezvous.Choices keeps the chosen name of each key; a changed name costs one comparison for each key.

--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -129,8 +129,11 @@
         self.joined_epoch = 0
         self.full = False
         self.alone_at = anyio.current_time() + JOIN_ALONE_S
-        self.leaving = False
         self.stopped = False
+        # What `members` and `home_of` return until the next change.
+        self.current: dict[str, objects.Member] = {}
+        self.choices = rendezvous.Choices()
+        self.is_leaving_host = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
         self.on_change: collections.abc.Callable[[], None] = lambda: None
         self.tasks: anyio.abc.TaskGroup | None = None
@@ -157,21 +160,24 @@
         members = self.view.members if self.view is not None else ()
         return {(member.host, member.incarnation) for member in members}
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this host has announced that it leaves."""
+        return self.is_leaving_host
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        self.is_leaving_host = leaving
+        self.follow_members()
+
     def members(self) -> dict[str, objects.Member]:
         """Return the members of the view that have not ended, by host."""
-        if self.view is None:
-            return {}
-        return {
-            member.host: member
-            for member in self.view.members
-            if (member.host, member.incarnation) not in self.ended
-        }
+        return self.current
 
     def home_of(self, target: int) -> objects.Member | None:
         """Return the home of a target of this domain, a staying member if any."""
-        members = self.members()
-        name = rendezvous.pick(target, self.staying() or members)
-        return members[name] if name is not None else None
+        name = self.choices.pick(target)
+        return self.current[name] if name is not None else None
 
     def staying(self) -> list[str]:
         """Return the members that are neither leaving nor held for dead."""
@@ -220,6 +226,23 @@
         peer = self.peers.get(host)
         return peer is not None and anyio.current_time() < peer.dead_at
 
+    # Changes.
+
+    def follow_members(self) -> None:
+        """Take over who is a member and who stays, for the queries."""
+        listed = self.view.members if self.view is not None else ()
+        self.current = {
+            member.host: member
+            for member in listed
+            if (member.host, member.incarnation) not in self.ended
+        }
+        self.choices.follow(self.staying() or self.current)
+
+    def changed(self) -> None:
+        """Bring a change of the membership into force."""
+        self.follow_members()
+        self.on_change()
+
     # Views.
 
     def on_object(self, stored: objects.StoredObject) -> None:
@@ -283,7 +306,7 @@
             epoch=view.epoch,
             members=",".join(m.host for m in view.members),
         )
-        self.on_change()
+        self.changed()
 
     async def write_view(
         self, members: collections.abc.Sequence[objects.Member], why: str
@@ -415,7 +438,7 @@
         if not peer.withheld:
             peer.withheld = True
             logs.event(LOGGER.warning, "peer_dead", peer=peer.member.host)
-            self.on_change()
+            self.changed()
         # Lower ranks wait a little, so that one writer usually suffices.
         alive = [name for name in self.members() if self.is_alive(name)]
         order = rendezvous.rank(self.epoch, alive).index(self.me.host)
@@ -439,6 +462,7 @@
         """Write a view without this host; members do it if the platform is down."""
         self.stopped = True
         self.ended.add((self.me.host, self.me.incarnation))
+        self.follow_members()
         for _ in range(FAREWELL_COPIES):
             for peer in list(self.peers.values()):
                 await self.send_heartbeat(peer)
@@ -469,7 +493,7 @@
         pause = interval_s(len(self.peers) + 1)
         if peer.withheld and not peer.removal_pending:
             peer.withheld = False
-            self.on_change()
+            self.changed()
         peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
         peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
         peer.newest_sent_us = max(peer.newest_sent_us, message.sent_us)
@@ -482,7 +506,7 @@
         peer.loads = message.loads or []
         if message.leaving and not peer.leaving:
             peer.leaving = True
-            self.on_change()
+            self.changed()
         if message.echo_us and message.epoch == self.epoch:
             until = message.echo_us / MICROSECONDS + LEASE_S
             peer.granted_until = max(peer.granted_until, until)
@@ -498,7 +522,7 @@
         self.ended.add(key)
         self.note_ended(host, incarnation)
         logs.event(LOGGER.info, "member_ended", peer=host, incarnation=incarnation)
-        self.on_change()
+        self.changed()
 
     def note_ended(self, host: str, incarnation: int) -> None:
         """Remember a proof of end beyond the view that it concerns."""
--- a/basilgate/rendezvous.py
+++ b/basilgate/rendezvous.py
@@ -34,6 +34,44 @@
     return ranked[attempt % len(ranked)] if ranked else None
 
 
+class Choices:
+    """Choices for keys that are asked for again, among names that change seldom.
+
+    A change of the names costs one comparison for each known key and new name; a
+    choice from scratch costs one for each name. At 69 members and 590 targets
+    that is the difference between 0.2 ms and 14 ms for each change of the view.
+    """
+
+    def __init__(self) -> None:
+        self.names: frozenset[str] = frozenset()
+        # Chosen name and its score, by key.
+        self.best: dict[int, tuple[int, str]] = {}
+
+    def follow(self, names: collections.abc.Iterable[str]) -> None:
+        """Choose among these names from now on."""
+        current = frozenset(names)
+        added = current - self.names
+        removed = self.names - current
+        self.names = current
+        if removed:
+            self.best = {k: b for k, b in self.best.items() if b[1] not in removed}
+        for name in added:
+            for key, best in self.best.items():
+                offered = (score(key, name), name)
+                if offered > best:
+                    self.best[key] = offered
+
+    def pick(self, key: int) -> str | None:
+        """Return the same name as the function `pick`, None without names."""
+        best = self.best.get(key)
+        if best is None:
+            name = pick(key, self.names)
+            if name is None:
+                return None
+            self.best[key] = best = (score(key, name), name)
+        return best[1]
+
+
 def pick_weighted(key: int, weights: collections.abc.Mapping[str, float]) -> str | None:
     """Return one name, chosen in proportion to its weight.
 
