Start measured clusters one balancer after the other, or all at once

Cause: the readiness limit of 30 s was too short for 64 balancers of one domain. Change: a cell has the pause between two starts, and a longer limit.

--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -30,6 +30,7 @@
 MAX_NODES = 64
 TARGET_PROCESSES = 4
 SETTLE_S = 4.0
+START_LIMIT_S = 120.0
 CHANGE_PAUSE_S = 2.0
 ABSENT_DOMAIN = "elsewhere"
 ABSENT_SERVICE = cluster.ServicePlan("stub", 1, "short", {})
@@ -40,7 +41,8 @@
     """One cluster: balancers, failure domains, and targets for each balancer.
 
     `total_targets` and `services` set the size of the sheet; targets beyond those
-    of the running domains belong to a domain without balancers.
+    of the running domains belong to a domain without balancers. `stagger_s` is the
+    pause between two starts; 0 starts all at once, as after an outage.
     """
 
     nodes: int
@@ -48,6 +50,7 @@
     targets: float = 8.5
     total_targets: int = 0
     services: int = 20
+    stagger_s: float = 0.25
 
     @property
     def label(self) -> str:
@@ -80,6 +83,7 @@
 SHEET_CELLS = tuple(
     Cell(nodes, 1, 8.5, scale.TARGETS, scale.SERVICES) for nodes in (1, 8)
 ) + (Cell(64, 8, 8.5, scale.TARGETS, scale.SERVICES),)
+OUTAGE_CELLS = tuple(Cell(n, d, stagger_s=0.0) for n, d in ((16, 1), (32, 4), (64, 8)))
 QUICK_CELLS = (Cell(1, 1), Cell(4, 1), Cell(8, 2))
 MATRICES = {
     "all": SLOPE_CELLS + TARGET_CELLS + SHEET_CELLS,
@@ -87,6 +91,7 @@
     "targets": TARGET_CELLS,
     "sheet": SHEET_CELLS,
     "quick": QUICK_CELLS,
+    "outage": OUTAGE_CELLS,
     "largest": (Cell(1, 1), Cell(64, 1), Cell(64, 8), SHEET_CELLS[-1]),
 }
 # Calls that balancers make; the writer of the changes uses other paths.
@@ -101,6 +106,12 @@
         balancers = {name: cell.nodes // cell.domains for name in names}
         super().__init__(cluster.Plan(balancers, ()), folder)
         self.cell = cell
+        self.start_limit_s = START_LIMIT_S
+
+    async def start_host(self, name: str) -> None:
+        """Start a balancer and pause before the next."""
+        await super().start_host(name)
+        await anyio.sleep(self.cell.stagger_s)
 
     def layout(self) -> None:
         """Name the balancers and the stub processes."""
@@ -396,7 +407,7 @@
     Parameters
     ----------
     matrix : str
-        One of all, slopes, targets, sheet, largest, quick.
+        One of all, slopes, targets, sheet, largest, outage, quick.
     window_s : float
         Length of one window in seconds.
     windows : int
--- a/lab/cluster.py
+++ b/lab/cluster.py
@@ -113,6 +113,7 @@
         self.platform: anyio.abc.Process | None = None
         self.http = httpx.AsyncClient(timeout=5.0, trust_env=False)
         self.processes: list[anyio.abc.Process] = []
+        self.start_limit_s = START_LIMIT_S
 
     def layout(self) -> None:
         """Name and address every host and target."""
@@ -246,13 +247,13 @@
         self, what: str, check: collections.abc.Callable[[], typing.Any]
     ) -> None:
         """Wait until an asynchronous check holds."""
-        with anyio.move_on_after(START_LIMIT_S):
+        with anyio.move_on_after(self.start_limit_s):
             while True:
                 with contextlib.suppress(httpx.HTTPError):
                     if await check():
                         return
                 await anyio.sleep(0.1)
-        raise TimeoutError(f"{what} did not happen within {START_LIMIT_S} s")
+        raise TimeoutError(f"{what} did not happen within {self.start_limit_s} s")
 
     async def status(self, name: str) -> dict[str, typing.Any]:
         """Return a balancer's status."""
