Look up members of the view by host

Cause: whether a member is in the view was decided by comparing it with each member. Change: the members of the view are kept by host until the view changes. Conclusion: the cost of these checks no longer grows with the domain.

--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -150,7 +150,9 @@
         self.joined_epoch = 0
         self.full = False
         self.stopped = False
-        # What `members`, `lenders`, and `home_of` return until the next change.
+        # What the queries return until the next change: the members of the view,
+        # and those among them that lend and that have not ended.
+        self.listed: dict[str, objects.Member] = {}
         self.current: dict[str, objects.Member] = {}
         self.current_lenders: dict[str, objects.Member] = {}
         self.choices = rendezvous.Choices()
@@ -174,7 +176,11 @@
 
     def is_member(self) -> bool:
         """Tell whether the adopted view holds this incarnation."""
-        return self.view is not None and self.me in self.view.members
+        return self.is_listed(self.me)
+
+    def is_listed(self, member: objects.Member) -> bool:
+        """Tell whether the adopted view holds a member with this incarnation."""
+        return self.listed.get(member.host) == member
 
     def identities(self) -> set[tuple[str, int]]:
         """Return host and incarnation of each member of the view."""
@@ -258,11 +264,12 @@
 
     def follow_members(self) -> None:
         """Take over who is a member and who stays, for the queries."""
-        listed = self.view.members if self.view is not None else ()
+        members = self.view.members if self.view is not None else ()
+        self.listed = {member.host: member for member in members}
         self.current_lenders = {
-            member.host: member
-            for member in listed
-            if (member.host, member.incarnation) not in self.ended
+            name: member
+            for name, member in self.listed.items()
+            if (name, member.incarnation) not in self.ended
         }
         self.current = {
             name: member
@@ -478,7 +485,7 @@
 
     async def send_heartbeat(self, peer: Peer) -> None:
         """Send one heartbeat; the echo is withheld from a peer held for dead."""
-        known = peer.member in (self.view.members if self.view is not None else ())
+        known = self.is_listed(peer.member)
         echo = peer.newest_sent_us if known and not peer.withheld else 0
         message = ttypes.Heartbeat(
             host=self.me.host,
