--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -18,6 +18,7 @@
 
 from basilgate import (
     admin,
+    admission,
     clock,
     configsync,
     datagrams,
@@ -34,11 +35,14 @@
     peering,
     placement,
     platformapi,
+    probing,
     queueing,
     reasons,
     rendezvous,
     replica,
+    retries,
     settings,
+    spill,
     tokens,
     wire,
 )
@@ -48,6 +52,7 @@
 
 RELAY_PLACED = 1
 RELAY_TO_FORMER = 2
+RELAY_SPILLED = 4
 
 UPKEEP_S = 1.0
 PING_INTERVAL_S = 1.0
@@ -102,15 +107,29 @@
             self.codec,
             self.send_to_peer,
         )
+        passing = retries.Passing(self.candidates, self.mint, self.deliver)
+        self.retrier = retries.Retrier(
+            passing, self.choose_target, config.limits.retry_share
+        )
+        self.spill = spill.POLICIES.get(config.policies.spill)()
+        self.spiller = spill.Spiller(self.spill, passing)
+        self.spiller.elsewhere = self.target_elsewhere
+        self.domain_loads = spill.DomainLoads()
+        self.prober = probing.Prober(self.rng)
         context = home.Context(
             send=self.send_to_caller,
             lease_until=self.members.lease_until,
-            retry=self.retry,
+            retry=self.retrier.retry,
             report=self.report,
             make_queue=queueing.POLICIES.get(config.policies.queueing),
             max_deadline_s=config.limits.max_deadline_s,
             max_answer_bytes=config.limits.max_answer_bytes,
             flow_idle_s=config.limits.flow_idle_s,
+            make_admission=admission.POLICIES.get(config.policies.admission),
+            move=self.spiller.move,
+            repeat=passing.repeat,
+            note_request=self.retrier.note_request,
+            share_by_flow=config.limits.caller_identity == "flow",
         )
         self.homes = homes.Homes(self.members, context, self.codec)
         self.opener = opening.Opener(
@@ -122,6 +141,7 @@
             config.limits.token_lifetime_s,
         )
         self.opener.is_reachable = self.is_reachable
+        self.homes.on_started = self.on_home_started
         self.members.loads = self.homes.loads
         self.members.on_change = self.on_view_change
         self.sync = configsync.ConfigSync(
@@ -132,6 +152,7 @@
             configsync.addresses(config.peers.seeds),
             config.platform.watch_timeout_s,
         )
+        self.members.on_behind = self.sync.note_behind
         self.store.subscribe(self.on_object)
         # Monotonic time until which each other domain counts as reachable.
         self.reachable_until: dict[str, float] = {}
@@ -285,7 +306,7 @@
     ) -> None:
         """Bring a frame to the owner of the open or to the target's home."""
         if frame.kind is wire.Kind.OPEN and not flags & RELAY_PLACED:
-            await self.on_open(frame, datagram, caller, hops)
+            await self.on_open(frame, datagram, caller, hops, flags)
             return
         verified = tokens.verify(
             self.ring, frame.token, frame.flow, frame.service, clock.unix_s()
@@ -354,8 +375,11 @@
             await self.send_to_caller(alive, caller)
             return
         former = self.homes.former_of(target.id, frame)
+        if former == self.members.me.host:
+            drop(await self.homes.on_left_frame(target.id, frame, caller))
+            return
         member = self.members.members().get(former) if former else None
-        if member is not None and member != self.members.me:
+        if member is not None:
             await self.relay(member, datagram, caller, hops, RELAY_TO_FORMER)
             return
         drop(await entry.on_frame(frame, caller))
@@ -363,14 +387,20 @@
     # Opens.
 
     async def on_open(
-        self, frame: wire.Frame, datagram: bytes, caller: wire.Address, hops: int
+        self,
+        frame: wire.Frame,
+        datagram: bytes,
+        caller: wire.Address,
+        hops: int,
+        flags: int,
     ) -> None:
         """Place an open, or pass it to the host that does."""
         if frame.service not in self.effective.services:
             if self.effective.services:
                 await self.refuse_open(frame, caller, reasons.Reason.NO_SUCH_SERVICE)
             return
-        domain = self.opener.domain_for(frame)
+        spilled = bool(flags & RELAY_SPILLED)
+        domain = self.members.domain if spilled else self.opener.domain_for(frame)
         if domain is None:
             await self.refuse_open(frame, caller, reasons.Reason.NO_TARGET)
             return
@@ -378,10 +408,38 @@
         if owner is None:
             drop(reasons.Reason.NO_HOME)
         elif owner == self.members.me or hops >= wire.MAX_HOPS - 1:
-            await self.place(frame, caller, hops)
+            if spilled or not await self.spill_open(frame, datagram, caller, hops):
+                await self.place(frame, caller, hops)
         else:
             await self.relay(owner, datagram, caller, hops)
 
+    async def spill_open(
+        self, frame: wire.Frame, datagram: bytes, caller: wire.Address, hops: int
+    ) -> bool:
+        """Pass an open to another domain if this one is full; False keeps it."""
+        if hops >= wire.MAX_HOPS - 1 or self.opener.remembered(frame.flow) is not None:
+            return False
+        now = anyio.current_time()
+        domain, _ = self.opener.spilled.get(frame.flow, ("", 0.0))
+        if not domain:
+            chosen = self.domain_loads.domain_for_open(
+                self.spill,
+                frame.service,
+                self.opener.candidates(frame.service),
+                self.is_reachable,
+            )
+            if chosen is None:
+                return False
+            domain = chosen
+        owner = self.opener.owner_in(domain, frame.flow, frame.attempt)
+        if owner is None:
+            return False
+        self.opener.spilled[frame.flow] = (domain, now + opening.OPEN_MEMORY_S)
+        service = self.effective.services[frame.service].name
+        metrics.SPILLED.inc({"service": service, "kind": "open"})
+        await self.relay(owner, datagram, caller, hops, RELAY_SPILLED)
+        return True
+
     async def place(self, frame: wire.Frame, caller: wire.Address, hops: int) -> None:
         """Place a flow as its owner and bring it to the target's home."""
         decided = self.opener.decide(frame)
@@ -427,10 +485,49 @@
 
     # Hooks of the homes.
 
-    async def retry(self, entry: home.Home, record: home.Record) -> bool:
-        """Try an idempotent request at another target; not done so far."""
-        del entry, record
-        return False
+    def candidates(self, service: int) -> list[placement.Candidate]:
+        """Return the usable targets of a service in the own domain."""
+        return self.opener.candidates(service)
+
+    def choose_target(self, candidates: placement.Candidates) -> placement.Candidate:
+        """Return the target that a retry goes to."""
+        return self.opener.policy(candidates, self.rng)
+
+    def mint(self, candidate: placement.Candidate, flow: int) -> bytes:
+        """Return a token for a flow at a target."""
+        return self.opener.mint(candidate.target, flow)
+
+    async def deliver(self, frame: wire.Frame, caller: wire.Address) -> None:
+        """Bring a frame of this host to the home that its token names."""
+        await self.route(frame, wire.encode(frame), caller, hops=0, flags=0)
+
+    def target_elsewhere(self, service: int) -> placement.Candidate | None:
+        """Return a target in the least loaded domain that has room."""
+        least = self.domain_loads.least(service, self.is_reachable)
+        if least is None:
+            return None
+        targets = [
+            target
+            for target in self.effective.by_service.get(service, [])
+            if target.domain == least.name and target.admits
+        ]
+        if not targets:
+            return None
+        least.sent += 1
+        return placement.Candidate(self.rng.choice(targets))
+
+    def on_home_started(self, entry: home.Home) -> None:
+        """Probe a target that this host has become the home of."""
+        if entry.former is None and not entry.awaiting_from:
+            entry.monitor.start_ramp(anyio.current_time())
+        if self.homes.tasks is not None:
+            self.homes.tasks.start_soon(self.prober.run, entry)
+
+    async def rebalance(self) -> None:
+        """Move waiting work to targets that have room."""
+        for entry in list(self.homes.homes.values()):
+            if len(entry.queue):
+                await self.spiller.rebalance(entry)
 
     async def report(self, entry: home.Home, record: home.Record) -> None:
         """Tell a target's new home about the end of a request."""
@@ -450,7 +547,11 @@
             if refused is not None:
                 drop(refused)
                 return
-            self.opener.on_loads(message.loads or [])
+            loads = message.loads or []
+            self.opener.on_loads(loads)
+            for load in loads:
+                self.spiller.on_report(load.target)
+            await self.rebalance()
         elif field == "view_changed":
             self.members.on_view_changed(message)
         elif field == "domain_ping":
@@ -462,8 +563,9 @@
         """Note that another domain is reachable, and answer."""
         now = anyio.current_time()
         self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
+        self.domain_loads.update(message.domain, message.loads or [])
         if message.config_digest != self.store.digest:
-            self.sync.behind.add(address)
+            self.sync.note_behind(address)
         if message.reply_wanted:
             await self.send_to_peer(self.ping(reply_wanted=False), address)
 
@@ -476,6 +578,9 @@
             self.store.revision,
             self.store.digest,
             reply_wanted,
+            self.domain_loads.report(
+                list(self.effective.services), self.opener.candidates
+            ),
         )
         return self.codec.encode("domain_ping", message)
 
@@ -570,6 +675,7 @@
                     "running": len(entry.running),
                     "queued": len(entry.queue),
                     "healthy": entry.healthy,
+                    "health": entry.monitor.explain(anyio.current_time()),
                 }
                 for entry in self.homes.homes.values()
             },
@@ -612,6 +718,7 @@
             await wait_for_signal()
             await self.stop()
             tasks.cancel_scope.cancel()
+        await self.prober.client.aclose()
         logs.event(LOGGER.info, "stopped")
 
     async def stop(self) -> None:
@@ -624,7 +731,8 @@
         self.on_view_change()
         while anyio.current_time() < stop_at:
             alone = not self.members.staying()
-            if self.homes.is_idle() and (alone or not self.homes.homes):
+            handed_over = not self.homes.homes and not self.homes.departing
+            if self.homes.is_idle() and (alone or handed_over):
                 break
             await anyio.sleep(STOP_POLL_S)
         await self.members.leave()
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -11,9 +11,12 @@
 import logbook
 
 from basilgate import (
+    admission,
+    classes,
     clock,
     effective,
     errors,
+    health,
     logs,
     membership,
     metrics,
@@ -31,6 +34,9 @@
 ANSWER_KEPT_S = 15.0
 LEASE_POLL_S = 0.1
 IDLE_POLL_S = 5.0
+# Work should start this many times its usual length before its deadline, because
+# half of it takes longer than usual.
+START_MARGIN = 2.0
 
 
 class RecordState(enum.IntEnum):
@@ -43,9 +49,16 @@
     ANSWERED = 4
     REFUSED = 5
     UNKNOWN = 6
+    # Idempotent and given to another target, whose home tells the outcome.
+    PASSED = 7
 
 
-ENDED_STATES = (RecordState.ANSWERED, RecordState.REFUSED, RecordState.UNKNOWN)
+ENDED_STATES = (
+    RecordState.ANSWERED,
+    RecordState.REFUSED,
+    RecordState.UNKNOWN,
+    RecordState.PASSED,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,6 +100,16 @@
     # A copy was sent to a target that did not say that it left it unstarted.
     forwarded: bool = False
     forwards: int = 0
+    # Flags that tell how the request was passed on before it came here, and the
+    # one that it was passed on with from here.
+    pass_flags: int = 0
+    passed_flag: int = 0
+    # Token of the caller's frame, returned with the answer, and the one of the
+    # target that the request was passed on to.
+    token: bytes = wire.EMPTY_TOKEN
+    passed_token: bytes = wire.EMPTY_TOKEN
+    body_bytes: int = 0
+    progress_at: float = 0.0
     cancel: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     frame: wire.Frame | None = None
     answer: Answer | None = None
@@ -98,6 +121,17 @@
         return (self.flow, self.request)
 
 
+async def keep(entry: "Home", record: Record) -> bool:
+    """Move no request."""
+    del entry, record
+    return False
+
+
+async def ignore(record: Record, frame: wire.Frame) -> None:
+    """Send nothing after a request that was passed on."""
+    del record, frame
+
+
 @dataclasses.dataclass(slots=True)
 class Context:
     """What a home needs of its balancer.
@@ -109,23 +143,50 @@
     lease_until : callable
         Monotonic time until which this host may start non-idempotent work.
     retry : callable
-        Tries an idempotent request at another target; True if it was passed on.
+        Tries an idempotent request at another target; returns NONE if it was
+        passed on, else why not.
     report : callable
         Tells the new home that a request left at this host has ended.
     make_queue : callable
         Makes a queue with a limit for each class.
+    make_admission : callable
+        Makes an admission policy.
+    learners : classes.Learners
+        Learned work classes, shared by the homes of this host.
+    move : callable
+        Moves a waiting idempotent request to another target; True if it did.
+    repeat : callable
+        Sends a frame about a request that was passed on after it.
+    note_request : callable
+        Notes a request of a service for its retry budget.
+    share_by_flow : bool
+        Whether a caller, for its share, is a flow and not a source address.
     """
 
     send: collections.abc.Callable[
         [wire.Frame, wire.Address], collections.abc.Awaitable[None]
     ]
     lease_until: collections.abc.Callable[[], float]
-    retry: collections.abc.Callable[["Home", Record], collections.abc.Awaitable[bool]]
+    retry: collections.abc.Callable[
+        ["Home", Record], collections.abc.Awaitable[reasons.Reason]
+    ]
     report: collections.abc.Callable[["Home", Record], collections.abc.Awaitable[None]]
     make_queue: collections.abc.Callable[[int], queueing.Queue]
     max_deadline_s: float
     max_answer_bytes: int
     flow_idle_s: float
+    make_admission: collections.abc.Callable[[], admission.Admission] = (
+        admission.AdaptiveAdmission
+    )
+    learners: classes.Learners = dataclasses.field(default_factory=classes.Learners)
+    move: collections.abc.Callable[
+        ["Home", Record], collections.abc.Awaitable[bool]
+    ] = keep
+    repeat: collections.abc.Callable[
+        [Record, wire.Frame], collections.abc.Awaitable[None]
+    ] = ignore
+    note_request: collections.abc.Callable[[int], None] = lambda _: None
+    share_by_flow: bool = False
 
 
 def now_ms() -> int:
@@ -144,27 +205,42 @@
         Its service.
     context : Context
         What the home needs of its balancer.
+    host : str
+        Name of this host.
     """
 
     def __init__(
-        self, target: effective.Target, service: effective.Service, context: Context
+        self,
+        target: effective.Target,
+        service: effective.Service,
+        context: Context,
+        host: str,
     ) -> None:
         self.target = target
+        self.host = host
         self.service = service
         self.context = context
         self.records: dict[queueing.Key, Record] = {}
         self.queue = context.make_queue(service.queue_limit)
+        self.admission = context.make_admission()
+        self.learner = context.learners.get(service.id)
+        self.occupancy = classes.Occupancy(service.work_class == "short")
+        self.monitor = health.Monitor()
         # Expiry of each flow in Unix milliseconds.
         self.flows: dict[int, int] = {}
         self.running: dict[queueing.Key, Record] = {}
         # Requests left at a former home that still use a slot there.
         self.former_running: set[queueing.Key] = set()
+        # Number of requests that run at earlier homes of the target in this process.
+        self.left_running: collections.abc.Callable[[], int] = lambda: 0
         self.work_added = anyio.Event()
         # Monotonic time from which non-idempotent work may be forwarded;
         # infinite while the former home is not known to have lost its right.
         self.authority_at = 0.0
         # Host whose handover is awaited; nothing is forwarded before it.
         self.awaiting_from = ""
+        # Host whose handover gives the right, also when it comes after its end.
+        self.awaited = ""
         # Host and incarnation of the former home while its right may still hold.
         self.former: tuple[str, int] | None = None
         # Serials of the handovers that were taken.
@@ -213,6 +289,7 @@
             self.suspend_queue()
         self.authority_at = authority_at
         self.awaiting_from = former
+        self.awaited = former or self.awaited
         if not complete:
             limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
             self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
@@ -263,7 +340,13 @@
     ) -> reasons.Reason:
         """Admit a request, or repeat what is known about it."""
         known = self.records.get(frame.key)
-        if known is not None:
+        if known is not None and known.state is RecordState.PASSED:
+            # A higher count means that the other home passed it back.
+            if wire.passes(frame.flags) <= wire.passes(known.pass_flags):
+                known.caller = caller
+                await self.follow(known, frame)
+                return reasons.Reason.DUPLICATE
+        elif known is not None:
             known.caller = caller
             await self.repeat(known)
             return reasons.Reason.DUPLICATE
@@ -284,6 +367,11 @@
             keep_until_ms=frame.deadline_ms
             + int(membership.DATAGRAM_LIFETIME_S * 1000),
             frame=frame,
+            forwarded=bool(frame.flags & wire.FLAG_STARTED),
+            forwards=int(bool(frame.flags & wire.FLAG_STARTED)),
+            pass_flags=frame.flags & wire.FLAGS_PASSED,
+            token=frame.token,
+            body_bytes=len(frame.body),
         )
         self.records[record.key] = record
         await self.admit(record, now)
@@ -291,10 +379,11 @@
 
     def classify(self, frame: wire.Frame) -> wire.WorkClass:
         """Return the work class of a request."""
-        if frame.work_class is not wire.WorkClass.UNDECLARED:
-            return frame.work_class
-        declared = {"short": wire.WorkClass.SHORT, "long": wire.WorkClass.LONG}
-        return declared.get(self.service.work_class, wire.WorkClass.UNDECLARED)
+        found = classes.classify(frame, self.service.work_class, self.learner)
+        self.occupancy.arrived(found)
+        if not wire.passes(frame.flags):
+            self.context.note_request(self.service.id)
+        return found
 
     async def admit(self, record: Record, now: int) -> None:
         """Queue a request that has just arrived, or end it."""
@@ -327,14 +416,59 @@
         )
 
     async def enqueue(self, record: Record) -> None:
-        """Put a request in the queue."""
-        waiting = queueing.Waiting(record.key, record.deadline_ms, record.work_class)
-        refused = self.queue.push(waiting)
+        """Put a request in the queue, move it elsewhere, or refuse it."""
+        if record.idempotent and await self.context.move(self, record):
+            return
+        waiting = queueing.Waiting(
+            record.key,
+            record.deadline_ms,
+            record.work_class,
+            record.flow if self.context.share_by_flow else record.caller[0],
+            self.allowance_ms(record),
+        )
+        slots, busy = self.slots_for(record.work_class)
+        decided = self.admission.decide(waiting, self.queue, slots, busy, now_ms())
+        refused = decided.reason
+        if decided.displaced is not None:
+            await self.displace(decided.displaced)
+        if refused is reasons.Reason.NONE:
+            refused = self.queue.push(waiting)
         if refused is not reasons.Reason.NONE:
             await self.refuse(record, refused)
             return
         self.work_added.set()
 
+    def allowance_ms(self, record: Record) -> int:
+        """Return the time before its deadline at which a request should start.
+
+        Work of unknown length should start at once.
+        """
+        service_s = self.admission.service_s(record.work_class)
+        if service_s <= 0:
+            return max(0, record.deadline_ms - now_ms())
+        return int(1000 * START_MARGIN * service_s)
+
+    def slots_for(self, work_class: wire.WorkClass) -> tuple[int, int]:
+        """Return how many slots a class may use, and how many of them are busy."""
+        busy = self.slots_in_use()
+        long = self.long_running()
+        if work_class is wire.WorkClass.LONG:
+            return self.occupancy.long_limit(self.target.slots), long
+        return max(1, self.target.slots - long), busy - long
+
+    async def displace(self, waiting: queueing.Waiting) -> None:
+        """Refuse a waiting request in favour of a caller that has fewer."""
+        record = self.records.get(waiting.key)
+        if self.queue.remove(waiting.key) and record is not None:
+            await self.refuse(record, reasons.Reason.CALLER_SHARE)
+
+    async def follow(self, record: Record, frame: wire.Frame) -> None:
+        """Send a frame after a request that was passed on, if it is known where."""
+        if record.passed_token == wire.EMPTY_TOKEN:
+            await self.reply(record, wire.Kind.PENDING)
+        else:
+            await self.context.repeat(record, frame)
+
     async def repeat(self, record: Record) -> None:
         """Tell a caller that sent a request again what is known about it."""
         if record.state is RecordState.ANSWERED:
@@ -380,7 +514,9 @@
         if record is None:
             return reasons.Reason.MALFORMED
         record.caller = caller
-        if record.state is RecordState.QUEUED and self.queue.remove(record.key):
+        if record.state is RecordState.PASSED:
+            await self.follow(record, frame)
+        elif record.state is RecordState.QUEUED and self.queue.remove(record.key):
             await self.refuse(record, reasons.Reason.CANCELLED)
         elif record.state is RecordState.RUNNING:
             record.cancel.set()
@@ -397,7 +533,13 @@
             chosen = self.take(expired)
             with anyio.CancelScope(shield=True):
                 for record in expired:
-                    await self.refuse(record, reasons.Reason.DEADLINE_PASSED)
+                    late = record.deadline_ms <= now_ms()
+                    await self.refuse(
+                        record,
+                        reasons.Reason.DEADLINE_PASSED
+                        if late
+                        else reasons.Reason.DEADLINE_UNREACHABLE,
+                    )
             if chosen is not None:
                 return chosen
             if self.work_added.is_set():
@@ -409,22 +551,30 @@
     def take(self, expired: list[Record]) -> Record | None:
         """Remove a request from the queue and mark it as running.
 
-        Requests that are past their deadline are moved to `expired`.
+        Requests that cannot end before their deadline are moved to `expired`.
         """
-        if self.handed_over_to or self.awaiting_from:
+        if self.handed_over_to or self.awaiting_from or not len(self.queue):
+            return None
+        if anyio.current_time() < self.monitor.paused_until:
             return None
         if self.slots_in_use() >= self.target.slots:
             return None
         passed_over = []
         chosen = None
         while chosen is None:
-            waiting = self.queue.pop(self.long_running(), self.target.slots)
+            waiting = self.queue.pop(
+                self.long_running(), self.occupancy.long_limit(self.target.slots)
+            )
             if waiting is None:
                 break
             record = self.records.get(waiting.key)
             if record is None or record.state is not RecordState.QUEUED:
                 continue
-            if record.deadline_ms <= now_ms():
+            now = now_ms()
+            # An idle target tries every request, which corrects its estimates.
+            if record.deadline_ms <= now or (
+                self.running and self.admission.too_late(waiting, now)
+            ):
                 expired.append(record)
             elif not record.idempotent and not self.has_authority():
                 passed_over.append(waiting)
@@ -436,16 +586,66 @@
             chosen.state = RecordState.RUNNING
             chosen.started_at = anyio.current_time()
             self.running[chosen.key] = chosen
+            self.occupancy.change(chosen.work_class, 1)
         return chosen
 
+    def release(self, record: Record) -> bool:
+        """Free the slot of a request; False if it held none."""
+        if self.running.pop(record.key, None) is None:
+            return False
+        self.occupancy.change(record.work_class, -1)
+        self.work_added.set()
+        return True
+
+    def settle(
+        self, record: Record, state: RecordState, reason: reasons.Reason
+    ) -> None:
+        """Free the slot of a request and learn from its outcome."""
+        if not self.release(record):
+            return
+        now = anyio.current_time()
+        seconds = now - record.started_at
+        if reason is reasons.Reason.SHED_BY_TARGET:
+            self.monitor.on_shed(now)
+        elif state is RecordState.ANSWERED:
+            self.admission.observe(record.work_class, seconds)
+            self.learner.observe(record.body_bytes, seconds)
+            self.monitor.on_outcome(good=True, now=now)
+        elif reason is reasons.Reason.TARGET_CONNECTION_LOST:
+            self.monitor.on_outcome(good=False, now=now)
+        elif record.deadline_ms <= now_ms():
+            # It took at least this long, and its target did not answer in time.
+            if seconds > self.admission.service_s(record.work_class):
+                self.admission.observe(record.work_class, seconds)
+            self.monitor.on_outcome(good=False, now=now)
+
+    def mark_passed(self, record: Record, token: bytes, flag: int) -> None:
+        """Note that a request was given to the target that a token names."""
+        # What this home could not truly call "not run", the next one cannot either.
+        record.forwarded = not self.may_refuse(record)
+        record.state = RecordState.PASSED
+        record.passed_token = token
+        record.passed_flag = flag
+        record.frame = None
+
+    def utilisation(self) -> float:
+        """Return the share of busy slots over the last seconds.
+
+        Slots that others use count by the target's reports.
+        """
+        busy = self.occupancy.mean() + self.monitor.foreign_busy
+        return min(1.0, busy / max(1, self.target.slots))
+
     def slots_in_use(self) -> int:
         """Return the slots of the target that have work, here or at a former home."""
-        return len(self.running) + len(self.former_running)
+        return len(self.running) + len(self.former_running) + self.left_running()
 
     def long_running(self) -> int:
         """Return the number of slots that have long work."""
+        long_since = anyio.current_time() - self.learner.long_after_s()
         return sum(
-            record.work_class is wire.WorkClass.LONG for record in self.running.values()
+            record.work_class is wire.WorkClass.LONG or record.started_at < long_since
+            for record in self.running.values()
         )
 
     def start_by_ms(self, record: Record) -> int:
@@ -497,6 +697,7 @@
             record.answer = Answer(
                 expected=max(frame.pieces, 1), total_bytes=frame.total_bytes
             )
+        record.progress_at = anyio.current_time()
         answer = record.answer
         answer.pieces.append(frame.body)
         answer.size += len(frame.body)
@@ -519,6 +720,7 @@
                 frame.pieces = answer.expected
                 frame.total_bytes = answer.total_bytes
                 frame.body = answer.pieces[piece]
+                frame.token = record.token
                 await self.context.send(frame, record.caller)
 
     # Outcomes.
@@ -539,7 +741,7 @@
         record.state = state
         record.reason = reason
         record.frame = None
-        self.running.pop(record.key, None)
+        self.settle(record, state, reason)
         self.count(record)
         if state is RecordState.REFUSED:
             errors.invariant(
@@ -600,9 +802,14 @@
         now = now_ms()
         for waiting in list(self.queue.waiting()):
             record = self.records.get(waiting.key)
-            if record is not None and record.deadline_ms <= now:
+            if record is None:
+                continue
+            if record.deadline_ms <= now:
                 self.queue.remove(waiting.key)
                 await self.refuse(record, reasons.Reason.DEADLINE_PASSED)
+            elif self.running and self.admission.too_late(waiting, now):
+                self.queue.remove(waiting.key)
+                await self.refuse(record, reasons.Reason.DEADLINE_UNREACHABLE)
         settled = self.waiting_ended()
         for record in list(self.records.values()):
             if record.state is RecordState.WAITING and settled:
@@ -671,7 +878,7 @@
             flow = peering.unsigned(entry.flow)
             self.flows[flow] = max(self.flows.get(flow, 0), entry.expires_ms)
         self.loaded.add(handover.serial)
-        if handover.host == self.awaiting_from:
+        if handover.host == self.awaited:
             self.load_rights(handover)
         for entry in handover.queued:
             decoded = wire.decode(entry.frame).value_or(None)
@@ -688,13 +895,13 @@
             self.queue.remove(mine.key)
             record.caller = mine.caller
         self.records[record.key] = record
-        if record.state is RecordState.RUNNING:
+        if record.state is RecordState.RUNNING and record.former != self.host:
             self.former_running.add(record.key)
 
     def load_rights(self, handover: typing.Any) -> None:
         """Take over the right to forward, as far as the former home had it."""
         self.former = None
-        self.awaiting_from = ""
+        self.awaiting_from = self.awaited = ""
         self.authority_at = 0.0
         if handover.former_host:
             self.former = (handover.former_host, handover.former_incarnation)
@@ -724,7 +931,7 @@
         for record in self.records.values():
             if record.former == host:
                 self.former_running.discard(record.key)
-                if record.state in (RecordState.RUNNING, RecordState.ANSWERED):
+                if elsewhere(record.state):
                     record.state = RecordState.UNKNOWN
                     record.reason = reasons.Reason.HOME_CHANGED
                 record.former = ""
@@ -746,7 +953,7 @@
 
 def elsewhere(state: RecordState) -> bool:
     """Tell whether a request in this state stays at its former home."""
-    return state in (RecordState.RUNNING, RecordState.ANSWERED)
+    return state in (RecordState.RUNNING, RecordState.ANSWERED, RecordState.PASSED)
 
 
 def export_record(record: Record, me: str) -> typing.Any:
--- a/basilgate/wire.py
+++ b/basilgate/wire.py
@@ -34,6 +34,10 @@
 
 FLAG_IDEMPOTENT = 1
 FLAG_STARTED = 2
+# A REQUEST that a home passed on to another target, before or after a failure.
+FLAG_SPILLED = 4
+FLAG_RETRIED = 8
+FLAGS_PASSED = FLAG_SPILLED | FLAG_RETRIED
 
 
 class Kind(enum.IntEnum):
@@ -101,6 +105,11 @@
         return (self.flow, self.request)
 
 
+def passes(flags: int) -> int:
+    """Return how often a request was passed to another target."""
+    return (flags & FLAGS_PASSED).bit_count()
+
+
 Address = tuple[str, int]
 
 
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -243,7 +243,7 @@
 async def homes_state() -> Measured:
     """Measure flows, records, and the handover of one target."""
     target, service = one_target()
-    entry = home.Home(target, service, context())
+    entry = home.Home(target, service, context(), "host")
     keep = held_bytes(
         10_000, lambda n: entry.touch_flow(0xFEDCBA9876543210 ^ n * 0x9E3779B9)
     )
@@ -265,7 +265,7 @@
         )
 
     found["remembered open"] = (held_bytes(10_000, remember), "bytes each")
-    source = home.Home(target, service, context())
+    source = home.Home(target, service, context(), "host")
     for number in range(HANDOVER_FLOWS):
         source.touch_flow((1 << 63) + number * 0x9E3779B97F4A)
     for number in range(HANDOVER_RECORDS):
@@ -280,7 +280,7 @@
     label = f"handover of {HANDOVER_RECORDS} records and {HANDOVER_FLOWS} flows"
     found[label] = (float(len(message)), "bytes")
     found["build this handover"] = (seconds(build, 5), "s")
-    receiver = home.Home(target, service, context())
+    receiver = home.Home(target, service, context(), "host")
     taken = []
     for _ in range(REPEATS):
         started = time.process_time()
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -152,12 +152,20 @@
         self.homes.call = self.call
         self.homes.serve_slot = self.serve_slot
         self.members.on_change = self.on_change
+        self.members.on_behind = self.on_behind
         self.members.loads = self.homes.loads
 
     def on_change(self) -> None:
         """Follow a change of the view."""
         self.homes.reassign(self.network.config)
 
+    def on_behind(self, address: tuple[str, int]) -> None:
+        """Take a newer view from a peer."""
+        peer = self.network.reachable(self, address)
+        stored = peer.store.stored.get(self.members.view_name) if peer else None
+        if stored is not None:
+            self.store.apply(stored)
+
     async def run(self) -> None:
         """Run until the node is killed."""
         with self.scope:
@@ -178,10 +186,10 @@
         if not self.paused and self.network.nodes.get(self.address) is self:
             self.network.outcomes.setdefault(frame.key, []).append(frame)
 
-    async def retry(self, entry: home.Home, record: home.Record) -> bool:
+    async def retry(self, entry: home.Home, record: home.Record) -> reasons.Reason:
         """Leave retries out."""
         del entry, record
-        return False
+        return reasons.Reason.NO_TARGET
 
     async def report(self, entry: home.Home, record: home.Record) -> None:
         """Tell the new home about the end of a request."""
