Share the sets of given fields between targets of a sheet

Cause: the replica of 4,700 targets and 1,400 services kept 11.4 MB. Change: models of which a sheet holds thousands share their sets of given fields; the measured sheet is divided as the commands divide it, without default values.

--- a/basilgate/objects.py
+++ b/basilgate/objects.py
@@ -53,7 +53,25 @@
     region: str = "default"
 
 
-class SheetService(Model):
+class Repeated(Model):
+    """Model of which a sheet holds thousands.
+
+    Each instance has a set of the fields that were given, 0.7 KB for ten fields.
+    Instances with the same fields share one, since they never change.
+    """
+
+    given_fields: typing.ClassVar[dict[frozenset[str], set[str]]] = {}
+
+    @pydantic.model_validator(mode="after")
+    def share_given_fields(self) -> typing.Self:
+        """Replace the instance's set by the shared one."""
+        given = self.model_fields_set
+        shared = Repeated.given_fields.setdefault(frozenset(given), given)
+        object.__setattr__(self, "__pydantic_fields_set__", shared)
+        return self
+
+
+class SheetService(Repeated):
     """What one service should have on the day of the sheet."""
 
     name: Name
@@ -66,7 +84,7 @@
     latency_ms: float = pydantic.Field(default=1_000.0, gt=0)
 
 
-class SheetTarget(Model):
+class SheetTarget(Repeated):
     """A target of one service."""
 
     name: Name
--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -62,21 +62,21 @@
     Cell(nodes, domains)
     for nodes, domains in (
         (1, 1),
+        (64, 8),
+        (16, 1),
+        (16, 8),
+        (64, 1),
+        (32, 4),
+        (8, 1),
+        (32, 1),
+        (4, 1),
+        (16, 2),
         (2, 1),
         (2, 2),
-        (4, 1),
         (4, 2),
-        (8, 1),
         (8, 4),
-        (16, 1),
-        (16, 2),
-        (16, 8),
-        (32, 1),
-        (32, 4),
         (32, 8),
-        (64, 1),
         (64, 2),
-        (64, 8),
     )
 )
 TARGET_CELLS = (Cell(16, 1, 0.0), Cell(16, 1, 4.0), Cell(16, 1, 17.0))
@@ -86,7 +86,7 @@
 OUTAGE_CELLS = tuple(Cell(n, d, stagger_s=0.0) for n, d in ((16, 1), (32, 4), (64, 8)))
 QUICK_CELLS = (Cell(1, 1), Cell(4, 1), Cell(8, 2))
 MATRICES = {
-    "all": SLOPE_CELLS + TARGET_CELLS + SHEET_CELLS,
+    "all": SHEET_CELLS + SLOPE_CELLS + TARGET_CELLS,
     "slopes": SLOPE_CELLS,
     "targets": TARGET_CELLS,
     "sheet": SHEET_CELLS,
@@ -156,11 +156,10 @@
         """Write the token key and the sheet in parts."""
         await self.write("key/1", {"id": 1, "secret": "17" * 32})
         addresses = [target.address for target in self.targets.values()]
-        names = []
-        for number, part in enumerate(scale.sheet_parts(self.size(), addresses)):
-            names.append(f"{number:064x}")
-            await self.write(f"sheet-part/{names[-1]}", part)
-        await self.write("sheet", scale.manifest(names))
+        parts = scale.sheet_parts(self.size(), addresses)
+        for name, part in parts.items():
+            await self.write(f"sheet-part/{name}", part)
+        await self.write("sheet", scale.manifest(parts))
 
     async def platform_calls(self) -> dict[str, int]:
         """Return the platform's calls so far, by method and path."""
@@ -413,6 +412,10 @@
     windows : int
         Windows for each state; medians are taken over them.
     """
+    # An installed package has compiled modules; compiling at start would leave
+    # several MB resident that no installed process has.
+    os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
+    os.environ["PYTHONPYCACHEPREFIX"] = str(OUT.parent.resolve() / "pycache")
     cells = MATRICES[matrix]
     assert all(cell.nodes <= MAX_NODES for cell in cells)
     found = anyio.run(functools.partial(measure, cells, window_s, windows))
--- a/lab/scale.py
+++ b/lab/scale.py
@@ -4,7 +4,7 @@
 import dataclasses
 import typing
 
-from basilgate import objects
+from basilgate import objects, sheet
 
 # Capacity goal, docs/design.md section 1.4.
 NODES = 550
@@ -22,9 +22,6 @@
 BUDGET_BYTES_PER_S = 24 * 1024
 SECONDS_PER_DAY = 86_400
 
-# Targets in one part of a sheet; a part has to stay below 256 KB.
-PART_TARGETS = 900
-
 Json = dict[str, typing.Any]
 
 
@@ -43,8 +40,10 @@
     return Size(SERVICES, counts)
 
 
-def sheet_parts(size: Size, addresses: collections.abc.Sequence[str]) -> list[Json]:
-    """Return the parts of a sheet as JSON values.
+def sheet_parts(
+    size: Size, addresses: collections.abc.Sequence[str]
+) -> dict[str, Json]:
+    """Return the parts of a sheet as JSON values, by content address.
 
     Parameters
     ----------
@@ -75,20 +74,16 @@
         )
         for number, domain in enumerate(placed, start=1)
     ]
-    parts = [objects.SheetPart(domains=domains, services=services)]
-    parts += [
-        objects.SheetPart(targets=tuple(targets[first : first + PART_TARGETS]))
-        for first in range(0, len(targets), PART_TARGETS)
-    ]
-    return [part.model_dump(mode="json") for part in parts]
+    content = sheet.Content(domains=domains, services=services, targets=tuple(targets))
+    return sheet.divide(content)
 
 
-def manifest(parts: collections.abc.Sequence[str]) -> Json:
+def manifest(parts: collections.abc.Iterable[str]) -> Json:
     """Return the manifest of a sheet with these parts."""
-    sheet = objects.Sheet(
+    written = objects.Sheet(
         date="2026-12-04", applied_at="2026-12-04T06:00:00Z", parts=tuple(parts)
     )
-    return sheet.model_dump(mode="json")
+    return written.model_dump(mode="json")
 
 
 def member(domain: str, number: int) -> objects.Member:
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -27,6 +27,7 @@
     opening,
     peering,
     queueing,
+    reasons,
     rendezvous,
     replica,
     tokens,
@@ -84,11 +85,10 @@
     """Return what the platform lists at the size of the capacity goal."""
     parts = scale.sheet_parts(scale.goal(), ["127.0.0.1"])
     found = [
-        stored(f"{objects.SHEET_PART_PREFIX}{number:064x}", part, number + 1)
-        for number, part in enumerate(parts)
+        stored(objects.SHEET_PART_PREFIX + name, part, number)
+        for number, (name, part) in enumerate(parts.items(), start=1)
     ]
-    names = [item.name.removeprefix(objects.SHEET_PART_PREFIX) for item in found]
-    found.append(stored(objects.SHEET, scale.manifest(names), 50))
+    found.append(stored(objects.SHEET, scale.manifest(parts), 50))
     found.append(stored("key/1", {"id": 1, "secret": "17" * 32}, 51))
     for number in range(1, scale.DOMAINS + 1):
         view = scale.view(f"domain-{number}", scale.DOMAIN_MEMBERS)
@@ -124,23 +124,25 @@
     return effective.from_replica(store, datetime.datetime.now(datetime.UTC))
 
 
+def merge_again(base: effective.Base, store: replica.Replica) -> None:
+    """Merge a prepared sheet with the overrides of a replica."""
+    overrides = effective.overrides_of(store)
+    effective.merge(base, overrides, datetime.datetime.now(datetime.UTC))
+
+
 def configuration() -> Measured:
     """Measure the replica and the merge at the size of the capacity goal."""
     text = listing_text(goal_objects())
     store = filled_replica(text)
+    base = effective.prepare(store.sheet_parts())
+    one_override = replica.Replica()
+    value = scale.override(1, "service-0001", "target-01400")
+    assert one_override.apply(stored("override/override-00001", value, 1))
     targets, services = scale.TARGETS, scale.SERVICES
     override = scale.override(1, "service-0001", "target-00001")
     names = [f"override/override-{n:05d}" for n in range(1_000)]
     values = [dict(scale.override(n, "s", "t")) for n in range(1_000)]
 
-    def keep_target(number: int) -> effective.Target:
-        sheet_target = objects.SheetTarget.model_validate(
-            store.parsed[f"{objects.SHEET_PART_PREFIX}{1:064x}"]
-            .targets[number % scale.PART_TARGETS]  # type: ignore[attr-defined]
-            .model_dump()
-        )
-        return effective.merge_target(sheet_target, 1, None)
-
     empty = replica.Replica()
     return {
         "listing at start": (float(len(text)), "bytes"),
@@ -150,7 +152,6 @@
         ),
         "replica alone": (held_bytes(1, lambda _: filled_replica(text)), "bytes"),
         "merged configuration alone": (held_bytes(1, lambda _: merged(store)), "bytes"),
-        "merged target": (held_bytes(1_000, keep_target), "bytes each"),
         "override in the replica": (
             held_bytes(
                 1_000,
@@ -162,7 +163,9 @@
             held_bytes(
                 1_000,
                 lambda n: empty.apply(
-                    objects.StoredObject(f"override/removed-{n:05d}", 2, n + 1, None)
+                    objects.StoredObject(
+                        f"override/removed-{n:05d}", 2, n + 2_001, None
+                    )
                 ),
             ),
             "bytes each",
@@ -170,7 +173,14 @@
         "override as JSON": (float(len(json.dumps(override))), "bytes"),
         "decode the listing": (seconds(lambda: from_listing(text)), "s"),
         "fill the replica": (seconds(lambda: filled_replica(text)), "s"),
-        "merge the configuration": (seconds(lambda: merged(store)), "s"),
+        "prepare a new sheet": (
+            seconds(lambda: effective.prepare(store.sheet_parts())),
+            "s",
+        ),
+        "merge one override into it": (
+            seconds(lambda: merge_again(base, one_override)),
+            "s",
+        ),
         "targets in the configuration": (float(targets), "count"),
         "services in the configuration": (float(services), "count"),
     }
@@ -191,9 +201,9 @@
     """Send nothing."""
 
 
-async def no_retry(*_: typing.Any) -> bool:
+async def no_retry(*_: typing.Any) -> reasons.Reason:
     """Retry nothing."""
-    return False
+    return reasons.Reason.NO_TARGET
 
 
 def context() -> home.Context:
@@ -214,9 +224,10 @@
     """Return a target and its service."""
     store = replica.Replica()
     size = scale.Size(1, {"domain-1": 1})
-    for number, part in enumerate(scale.sheet_parts(size, ["127.0.0.1"])):
-        store.apply(stored(f"sheet-part/{number}", part, number + 1))
-    store.apply(stored(objects.SHEET, scale.manifest(["0", "1"]), 9))
+    parts = scale.sheet_parts(size, ["127.0.0.1"])
+    for number, (name, part) in enumerate(parts.items(), start=1):
+        store.apply(stored(objects.SHEET_PART_PREFIX + name, part, number))
+    store.apply(stored(objects.SHEET, scale.manifest(parts), 9))
     config = merged(store)
     return config.targets[1], config.services[1]
 
