Carry only the loads in pings that another domain asks for

Cause: each ping and each reply carried the loads of 32 services. With 8 failure domains a host sends and receives 28 a second, about 14 KB of the 24 KB budget, and with 1,400 services one of them came round every 22 s, after its 5 s of use. Change: a ping names the services that are full at the sender, at most 5, and the reply has their loads in the other domain. Up to 5 services are all reported.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -568,10 +568,17 @@
             address, message.config_revision, message.config_digest
         )
         if message.reply_wanted:
-            await self.send_to_peer(self.ping(reply_wanted=False), address)
+            asked = [load.target for load in message.loads or []]
+            limited = asked[: spill.SERVICES_PER_PING]
+            await self.send_to_peer(self.ping(limited, reply_wanted=False), address)
 
-    def ping(self, reply_wanted: bool) -> bytes:
-        """Return a ping to another failure domain."""
+    def ping(
+        self, services: collections.abc.Iterable[int], reply_wanted: bool
+    ) -> bytes:
+        """Return a ping to another failure domain with the loads of services.
+
+        The reply to a ping has the loads of the services that the ping names.
+        """
         message = ttypes.DomainPing(
             self.members.me.host,
             self.members.domain,
@@ -579,9 +586,7 @@
             self.store.revision,
             self.store.digest,
             reply_wanted,
-            self.domain_loads.report(
-                list(self.effective.services), self.opener.candidates
-            ),
+            self.domain_loads.report(services, self.opener.candidates),
         )
         return self.codec.encode("domain_ping", message)
 
@@ -594,7 +599,8 @@
                 if view.members:
                     member = self.rng.choice(view.members)
                     address = settings.split_address(member.peers)
-                    await self.send_to_peer(self.ping(reply_wanted=True), address)
+                    asked = self.domain_loads.asked(list(self.effective.services))
+                    await self.send_to_peer(self.ping(asked, True), address)
             await anyio.sleep(PING_INTERVAL_S)
 
     def is_reachable(self, domain: str) -> bool:
--- a/basilgate/spill.py
+++ b/basilgate/spill.py
@@ -15,8 +15,9 @@
 from basilgate import home, metrics, placement, registry, retries, wire
 from peerproto import ttypes
 
-# Loads of so many services fit a datagram beside the rest of a ping.
-SERVICES_PER_PING = 32
+# With 8 failure domains a host sends and receives 28 pings a second. The loads of
+# more services in each would exceed the budget of 24 KB a second.
+SERVICES_PER_PING = 5
 # A load that another domain reported is used for this time.
 DOMAIN_LOAD_S = 5.0
 # Time that a request needs on its way to another home, with a reserve.
@@ -137,6 +138,8 @@
     def __init__(self) -> None:
         # Load and its expiry on the monotonic clock, by service and domain.
         self.known: dict[int, dict[str, tuple[Load, float]]] = {}
+        # Services that were full here, and until when pings ask for them.
+        self.wanted: dict[int, float] = {}
         self.position = 0
 
     def update(self, domain: str, loads: collections.abc.Iterable[typing.Any]) -> None:
@@ -163,6 +166,7 @@
         self, service: int, is_reachable: collections.abc.Callable[[str], bool]
     ) -> Load | None:
         """Return the least loaded other domain if it has a free slot."""
+        self.want(service)
         others = self.of(service, is_reachable)
         found = min(others, key=lambda load: load.relative, default=None)
         return None if found is None or found.is_full else found
@@ -178,30 +182,51 @@
         own = total("", candidates)
         if not own.slots:
             return None
+        if own.is_full:
+            self.want(service)
         chosen = policy.choose(own, self.of(service, is_reachable))
         if chosen is None:
             return None
         chosen.sent += 1
         return chosen.name
 
+    def want(self, service: int) -> None:
+        """Ask other domains for a service's load with the next pings."""
+        self.wanted[service] = anyio.current_time() + DOMAIN_LOAD_S
+
+    def asked(self, services: collections.abc.Sequence[int]) -> list[int]:
+        """Return the services that a ping asks for, some at a time.
+
+        With few services all of them, otherwise those that are full here: pings
+        cannot carry the loads of 1,400 services.
+        """
+        if len(services) <= SERVICES_PER_PING:
+            return list(services)
+        now = anyio.current_time()
+        self.wanted = {s: until for s, until in self.wanted.items() if until > now}
+        found = list(self.wanted)
+        chosen = [
+            found[(self.position + offset) % len(found)]
+            for offset in range(min(SERVICES_PER_PING, len(found)))
+        ]
+        self.position += SERVICES_PER_PING
+        return chosen
+
     def report(
         self,
-        services: collections.abc.Sequence[int],
+        services: collections.abc.Iterable[int],
         candidates: collections.abc.Callable[[int], list[placement.Candidate]],
     ) -> list[typing.Any]:
-        """Return the own domain's loads for a ping, some services at a time.
+        """Return the own domain's loads of some services for a ping.
 
         A part has the service in `target` and its number of slots in `flows`.
         """
         parts = []
-        for offset in range(min(SERVICES_PER_PING, len(services))):
-            service = services[(self.position + offset) % len(services)]
+        for service in services:
             load = total("", candidates(service))
-            if load.slots:
-                busy = int(1_000 * load.busy / load.slots)
-                queued = min(load.queued, 32_767)
-                parts.append(ttypes.TargetLoad(service, 0, queued, load.slots, 1, busy))
-        self.position += SERVICES_PER_PING
+            busy = int(1_000 * load.busy / max(load.slots, 1))
+            queued = min(load.queued, 32_767)
+            parts.append(ttypes.TargetLoad(service, 0, queued, load.slots, 1, busy))
         return parts
 
 
