--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -1,5 +1,6 @@
 """Balancer process of one entry host: sockets, dispatch, and shutdown."""
 
+import collections.abc
 import datetime
 import pathlib
 import random
