--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -1,5 +1,6 @@
 """Balancer process of one entry host: sockets, dispatch, and shutdown."""
 
+import collections.abc
 import pathlib
 import random
 import signal
@@ -600,10 +601,21 @@
             address, message.config_revision, message.config_digest
         )
         if message.reply_wanted:
-            await self.send_to_peer(self.ping(address, reply_wanted=False), address)
+            asked = [load.target for load in message.loads or []]
+            limited = asked[: spill.SERVICES_PER_PING]
+            reply = self.ping(address, limited, reply_wanted=False)
+            await self.send_to_peer(reply, address)
 
-    def ping(self, address: tuple[str, int], reply_wanted: bool) -> bytes:
-        """Return a ping to another failure domain."""
+    def ping(
+        self,
+        address: tuple[str, int],
+        services: collections.abc.Iterable[int],
+        reply_wanted: bool,
+    ) -> bytes:
+        """Return a ping to another failure domain with the loads of services.
+
+        The reply to a ping has the loads of the services that the ping names.
+        """
         message = ttypes.DomainPing(
             self.members.me.host,
             self.members.domain,
@@ -611,9 +623,7 @@
             self.store.revision,
             self.store.digest,
             reply_wanted,
-            self.domain_loads.report(
-                list(self.effective.services), self.opener.candidates
-            ),
+            self.domain_loads.report(services, self.opener.candidates),
             sent_ms=clock.unix_ms(),
         )
         context = peering.context_of(address)
@@ -628,7 +638,8 @@
                 if view.members:
                     member = self.rng.choice(view.members)
                     address = settings.split_address(member.peers)
-                    datagram = self.ping(address, reply_wanted=True)
+                    asked = self.domain_loads.asked(list(self.effective.services))
+                    datagram = self.ping(address, asked, reply_wanted=True)
                     await self.send_to_peer(datagram, address)
             await anyio.sleep(PING_INTERVAL_S)
 
--- a/basilgate/health.py
+++ b/basilgate/health.py
@@ -65,6 +65,7 @@
 
     good: Recent = dataclasses.field(default_factory=Recent)
     bad: Recent = dataclasses.field(default_factory=Recent)
+    # When a real request last ended well.
     last_good_at: float = -math.inf
     probe_failures: int = 0
     ejected: bool = False
@@ -102,8 +103,8 @@
         """Take in the outcome of a real request."""
         (self.good if good else self.bad).add(now)
         if good:
-            self.sheds_in_row = 0
             self.last_good_at = now
+            self.sheds_in_row = 0
 
     def on_shed(self, now: float) -> None:
         """Pause a target that shed a request, longer for each one in a row."""
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -593,7 +593,7 @@
         old = rig.homes[rig.target_of(1)]
         frame = another_copy(context, rig)
         handover = old.export("a-0", 1, 1)
-        heir = home.Home(old.target, old.service, old.context)
+        heir = home.Home(old.target, old.service, old.context, "heir")
         heir.awaiting_from = "a-0"
         await heir.load(handover)
         await heir.on_frame(frame, ("127.0.0.1", 1))
