Tell apart the answers of two runs; carry the end of the incomplete time

Cause: (1) when a home dies while its answer is under way and an idempotent request runs again, the caller added pieces of the second answer to those of the first, and then only pulled from a home that had no record. Change: ANSWER carries a run number, the caller starts anew when it changes and sends the request again when pulls bring nothing; a handover carries the end of that time.

--- a/basilgate/client.py
+++ b/basilgate/client.py
@@ -107,6 +107,8 @@
     """One request on its way; `changed` is set by each frame that concerns it."""
 
     pieces: dict[int, bytes] = dataclasses.field(default_factory=dict)
+    # Run of the request at a target that the pieces belong to.
+    run: int = 0
     expected: int = 0
     # Pieces below these numbers have come, and were sent or asked for.
     complete_to: int = 0
@@ -117,6 +119,22 @@
     outcome: Outcome | None = None
     changed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
+    def take(self, frame: wire.Frame) -> None:
+        """Take in an answer piece; one of another run starts the answer anew.
+
+        An idempotent request may run at two homes, and its answers may differ.
+        """
+        if frame.deadline_ms != self.run:
+            self.run = frame.deadline_ms
+            self.pieces.clear()
+            self.complete_to = 0
+            self.asked_to = UNPROMPTED_PIECES
+        self.expected = max(frame.pieces, 1)
+        if frame.piece < self.expected:
+            self.pieces[frame.piece] = frame.body
+        if frame.token != wire.EMPTY_TOKEN:
+            self.token = frame.token
+
     def notify(self) -> None:
         """Wake the task that waits for the outcome."""
         self.changed.set()
@@ -244,6 +262,10 @@
         if await exchange.wait(min(exchange.pull_pause_s, max(0.0, left_s))):
             exchange.pull_pause_s = PULL_PAUSE_S
             return
+        if exchange.pull_pause_s >= PULL_PAUSE_LIMIT_S:
+            # A new home that has no record of the request ignores pulls.
+            frame.attempt = min(frame.attempt + 1, MAX_ATTEMPT)
+            await self.client.transport.send(wire.encode(frame))
         exchange.pull_pause_s = min(exchange.pull_pause_s * 2, PULL_PAUSE_LIMIT_S)
         await self.pull(frame.request, exchange, exchange.complete_to)
 
@@ -282,11 +304,7 @@
             return
         reason = reasons.from_code(frame.reason)
         if frame.kind is wire.Kind.ANSWER:
-            exchange.expected = max(frame.pieces, 1)
-            if frame.piece < exchange.expected:
-                exchange.pieces[frame.piece] = frame.body
-            if frame.token != wire.EMPTY_TOKEN:
-                exchange.token = frame.token
+            exchange.take(frame)
         elif frame.kind is wire.Kind.REFUSED:
             exchange.outcome = NotRun(reason)
         elif frame.kind is wire.Kind.UNKNOWN:
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -100,6 +100,8 @@
     # A copy was sent to a target that did not say that it left it unstarted.
     forwarded: bool = False
     forwards: int = 0
+    # Tells the caller apart the answers of two runs; Unix milliseconds.
+    run_ms: int = 0
     # Flags that tell how the request was passed on before it came here, and the
     # one that it was passed on with from here.
     pass_flags: int = 0
@@ -697,6 +699,7 @@
         )
         record.forwarded = True
         record.forwards += 1
+        record.run_ms = max(record.run_ms + 1, now_ms())
         metrics.FORWARDED.inc({"service": self.service.name})
         return dataclasses.replace(
             record.frame, deadline_ms=self.start_by_ms(record), token=wire.EMPTY_TOKEN
@@ -738,6 +741,7 @@
             if piece < len(answer.pieces):
                 frame = self.make_frame(record, wire.Kind.ANSWER)
                 frame.piece = piece
+                frame.deadline_ms = record.run_ms
                 frame.pieces = answer.expected
                 frame.total_bytes = answer.total_bytes
                 frame.body = answer.pieces[piece]
@@ -890,7 +894,7 @@
                 for flow, expires in self.flows.items()
             ],
             authority_ms=authority_ms,
-            records_complete=now_ms() >= self.incomplete_until_ms,
+            incomplete_until_ms=self.incomplete_until_ms,
             serial=time.time_ns(),
             former_host=former_host,
             former_incarnation=former_incarnation,
@@ -939,10 +943,7 @@
         elif handover.authority_ms:
             left_s = (handover.authority_ms - now_ms()) / 1000
             self.authority_at = anyio.current_time() + left_s
-        self.incomplete_until_ms = 0
-        if not handover.records_complete:
-            limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
-            self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
+        self.incomplete_until_ms = handover.incomplete_until_ms
 
     def on_completion(self, message: typing.Any) -> None:
         """Take in the end of a request that a former home was still running."""
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -106,7 +106,9 @@
   7: required list<FlowEntry> flows,
   // Unix time in milliseconds before which non-idempotent work must wait; 0: none.
   8: required i64 authority_ms,
-  9: required bool records_complete,
+  // Unix time in milliseconds until which a request may be known to a former home
+  // only, whose records are missing; 0: none.
+  9: required i64 incomplete_until_ms,
   // Tells a repeated message from a new one.
   10: required i64 serial,
   // Former home whose right may still hold; empty if none.
--- a/lab/solo.py
+++ b/lab/solo.py
@@ -98,7 +98,7 @@
             "queued": [],
             "flows": [],
             "authority_ms": 0,
-            "records_complete": True,
+            "incomplete_until_ms": 0,
             "serial": 1,
             "former_host": "",
             "former_incarnation": 0,
--- a/peerproto/ttypes.py
+++ b/peerproto/ttypes.py
@@ -1368,7 +1368,7 @@
      - queued
      - flows
      - authority_ms
-     - records_complete
+     - incomplete_until_ms
      - serial
      - former_host
      - former_incarnation
@@ -1384,14 +1384,14 @@
         'queued',
         'flows',
         'authority_ms',
-        'records_complete',
+        'incomplete_until_ms',
         'serial',
         'former_host',
         'former_incarnation',
     )
 
 
-    def __init__(self, host=None, incarnation=None, epoch=None, target=None, records=None, queued=None, flows=None, authority_ms=None, records_complete=None, serial=None, former_host=None, former_incarnation=None,):
+    def __init__(self, host=None, incarnation=None, epoch=None, target=None, records=None, queued=None, flows=None, authority_ms=None, incomplete_until_ms=None, serial=None, former_host=None, former_incarnation=None,):
         self.host = host
         self.incarnation = incarnation
         self.epoch = epoch
@@ -1400,7 +1400,7 @@
         self.queued = queued
         self.flows = flows
         self.authority_ms = authority_ms
-        self.records_complete = records_complete
+        self.incomplete_until_ms = incomplete_until_ms
         self.serial = serial
         self.former_host = former_host
         self.former_incarnation = former_incarnation
@@ -1473,8 +1473,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.BOOL:
-                    self.records_complete = iprot.readBool()
+                if ftype == TType.I64:
+                    self.incomplete_until_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
@@ -1543,9 +1543,9 @@
             oprot.writeFieldBegin('authority_ms', TType.I64, 8)
             oprot.writeI64(self.authority_ms)
             oprot.writeFieldEnd()
-        if self.records_complete is not None:
-            oprot.writeFieldBegin('records_complete', TType.BOOL, 9)
-            oprot.writeBool(self.records_complete)
+        if self.incomplete_until_ms is not None:
+            oprot.writeFieldBegin('incomplete_until_ms', TType.I64, 9)
+            oprot.writeI64(self.incomplete_until_ms)
             oprot.writeFieldEnd()
         if self.serial is not None:
             oprot.writeFieldBegin('serial', TType.I64, 10)
@@ -1579,8 +1579,8 @@
             raise TProtocolException(message='Required field flows is unset!')
         if self.authority_ms is None:
             raise TProtocolException(message='Required field authority_ms is unset!')
-        if self.records_complete is None:
-            raise TProtocolException(message='Required field records_complete is unset!')
+        if self.incomplete_until_ms is None:
+            raise TProtocolException(message='Required field incomplete_until_ms is unset!')
         if self.serial is None:
             raise TProtocolException(message='Required field serial is unset!')
         if self.former_host is None:
@@ -2306,7 +2306,7 @@
     (6, TType.LIST, 'queued', (TType.STRUCT, [QueuedRequest, None], False), None, ),  # 6
     (7, TType.LIST, 'flows', (TType.STRUCT, [FlowEntry, None], False), None, ),  # 7
     (8, TType.I64, 'authority_ms', None, None, ),  # 8
-    (9, TType.BOOL, 'records_complete', None, None, ),  # 9
+    (9, TType.I64, 'incomplete_until_ms', None, None, ),  # 9
     (10, TType.I64, 'serial', None, None, ),  # 10
     (11, TType.STRING, 'former_host', 'UTF8', None, ),  # 11
     (12, TType.I64, 'former_incarnation', None, None, ),  # 12
