--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -587,6 +587,8 @@
             chosen.started_at = anyio.current_time()
             self.running[chosen.key] = chosen
             self.occupancy.change(chosen.work_class, 1)
+            waited_s = chosen.started_at - chosen.arrived_at
+            metrics.QUEUE_TIME.observe(self.labels(chosen), waited_s)
         return chosen
 
     def release(self, record: Record) -> bool:
@@ -691,6 +693,16 @@
             record.frame, deadline_ms=self.start_by_ms(record), token=wire.EMPTY_TOKEN
         )
 
+    def check_piece(self, record: Record, frame: wire.Frame) -> reasons.Reason:
+        """Return why an answer piece of the target cannot be taken, NONE if it can."""
+        answer = record.answer or Answer(expected=max(frame.pieces, 1))
+        if answer.size + len(frame.body) > self.context.max_answer_bytes:
+            return reasons.Reason.ANSWER_TOO_LARGE
+        in_order = frame.piece == len(answer.pieces) < answer.expected
+        if not in_order or max(frame.pieces, 1) != answer.expected:
+            return reasons.Reason.MALFORMED
+        return reasons.Reason.NONE
+
     async def on_piece(self, record: Record, frame: wire.Frame) -> bool:
         """Take one answer piece from the target; True after the last one."""
         if record.answer is None:
@@ -761,15 +773,19 @@
         if self.handed_over_to:
             await self.context.report(self, record)
 
+    def labels(self, record: Record) -> dict[str, str]:
+        """Return the labels of a request in the metrics."""
+        return {
+            "service": self.service.name,
+            "work_class": record.work_class.name.lower(),
+        }
+
     def count(self, record: Record) -> None:
         """Count an ended request in the metrics."""
         outcome = record.state.name.lower()
         if record.reason is not reasons.Reason.NONE:
             outcome += ":" + reasons.label(record.reason)
-        labels = {
-            "service": self.service.name,
-            "work_class": record.work_class.name.lower(),
-        }
+        labels = self.labels(record)
         metrics.REQUESTS.inc({**labels, "outcome": outcome})
         if record.state is RecordState.ANSWERED:
             metrics.LATENCY.observe(labels, anyio.current_time() - record.arrived_at)
--- a/basilgate/settings.py
+++ b/basilgate/settings.py
@@ -1,6 +1,7 @@
 """Settings of a balancer, read from an INI file and checked at start."""
 
 import configparser
+import functools
 import ipaddress
 import pathlib
 import typing
@@ -23,6 +24,7 @@
 Address = typing.Annotated[str, pydantic.AfterValidator(check_address)]
 
 
+@functools.lru_cache(maxsize=16_384)
 def split_address(value: str) -> tuple[str, int]:
     """Return host and port of an ``ip:port`` string."""
     host, _, port = value.rpartition(":")
@@ -111,6 +113,28 @@
     caller_identity: typing.Literal["address", "flow"] = "address"
 
 
+class TlsSection(Section):
+    """``[tls]``: PEM files for TLS with certificates on both sides.
+
+    It applies to the TCP calls between balancers and to the admin interface.
+    Without this section both are plain TCP.
+    """
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    ca: pathlib.Path
+
+    @pydantic.field_validator("certificate", "key", "ca")
+    @classmethod
+    def check_file(cls, value: pathlib.Path) -> pathlib.Path:
+        """Accept files that can be read."""
+        try:
+            value.read_bytes()
+        except OSError as error:
+            raise ValueError(f"cannot read {value}: {error.strerror}") from error
+        return value
+
+
 class LoggingSection(Section):
     """``[logging]``: what is logged."""
 
@@ -126,6 +150,7 @@
     peers: PeersSection
     policies: PoliciesSection = PoliciesSection()
     limits: LimitsSection = LimitsSection()
+    tls: TlsSection | None = None
     logging: LoggingSection = LoggingSection()
 
 
@@ -157,10 +182,16 @@
         return result.Failure(describe(error))
 
 
+def read(path: pathlib.Path) -> result.Result[str, str]:
+    """Return the text of a settings file, or one line that says what is wrong."""
+    try:
+        return result.Success(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return result.Failure(f"cannot read settings: {error.strerror}")
+    except UnicodeDecodeError:
+        return result.Failure("cannot read settings: not UTF-8 text")
+
+
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
     """Return the settings in an INI file, or one line that says what is wrong."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return result.Failure(f"cannot read settings: {error}")
-    return parse(text)
+    return read(path).bind(parse)
