--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -748,6 +748,7 @@
             await anyio.sleep(UPKEEP_S)
             self.opener.forget()
             self.load_keys()
+            await self.rebalance()
             expiry = self.effective.next_expiry_s
             if expiry is not None and expiry <= clock.unix_s():
                 self.load_config()
--- a/features/steps/experiments_steps.py
+++ b/features/steps/experiments_steps.py
@@ -90,6 +90,8 @@
         journal.append(start(5, 3, "desk-2"))
     elif what == "an unknown outcome without a fault":
         seen.requests.append(request_seen(5, 3, outcome="unknown"))
+    elif what == "a failed open without a fault":
+        seen.failed_opens.append((BEGAN, 1, "no_target"))
     elif what == "a start at a target of another service":
         journal.append(start(5, 3, "photos-1", idempotent=True))
     elif what == "an answer to another request":
@@ -109,6 +111,8 @@
     elif what == "a balancer without an override after 4 s":
         found.happened.append(drained)
         found.samples.append(sample(103.5, 8))
+    elif what == "a running balancer outside the view":
+        found.samples.append(dataclasses.replace(sample(50, 8), member=False))
     else:
         journal.append(start(5, 3, "desk-1", busy=4))
 
@@ -128,7 +132,7 @@
 @behave.when("the faults of seed 7 are scheduled twice for 300 s")
 def schedule_twice(context):
     """Schedule random faults twice."""
-    names = soak.target_names(soak.SONOR)
+    names = [target.name for target in cluster.planned_targets(soak.SONOR)]
     context.schedules = [faults.schedule(soak.SONOR, names, 7, 300.0) for _ in range(2)]
 
 
