Keep sheet parts compressed and overrides on prepared targets

Change: a replica keeps parts as compressed text; overrides apply to the prepared targets instead of the sheet's models.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -665,7 +665,7 @@
     def observer(self) -> explaining.Observer:
         """Return what queries look at."""
         return explaining.Observer(
-            self.store, self.effective, self.members, self.homes.homes
+            self.store, self.base, self.effective, self.members, self.homes.homes
         )
 
     def explain(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
--- a/basilgate/effective.py
+++ b/basilgate/effective.py
@@ -77,20 +77,9 @@
     return chosen
 
 
-def merge_target(
-    target: objects.SheetTarget, service: int, override: objects.Override | None
-) -> Target:
-    """Return a target of the sheet with its override applied."""
-    weight = target.weight
+def planned_target(target: objects.SheetTarget, service: int) -> Target:
+    """Return a target as the sheet has it."""
     leaving = target.state == "drain"
-    pinned = False
-    pulled = False
-    if override is not None:
-        pinned = override.kind == "pin"
-        pulled = override.kind == "pull"
-        leaving = override.kind == "drain" or (leaving and not pinned)
-        if override.kind == "weight" and override.weight is not None:
-            weight = override.weight
     return Target(
         name=target.name,
         id=target.id,
@@ -100,11 +89,28 @@
         admin=settings.split_address(target.admin),
         slots=target.slots,
         connections=target.connections,
+        weight=target.weight,
+        admits=target.weight > 0 and not leaving,
+        leaving=leaving,
+        pinned=False,
+    )
+
+
+def merge_target(target: Target, override: objects.Override) -> Target:
+    """Return a target of the sheet with its override applied."""
+    pinned = override.kind == "pin"
+    leaving = override.kind == "drain" or (target.leaving and not pinned)
+    weight = target.weight
+    if override.kind == "weight" and override.weight is not None:
+        weight = override.weight
+    usable = weight > 0 and not leaving and override.kind != "pull"
+    return dataclasses.replace(
+        target,
         weight=max(weight, 1) if pinned else weight,
-        admits=pinned or (weight > 0 and not leaving and not pulled),
+        admits=pinned or usable,
         leaving=leaving,
         pinned=pinned,
-        override=override.id if override is not None else "",
+        override=override.id,
     )
 
 
@@ -113,17 +119,15 @@
     """A sheet without overrides, prepared once for many merges."""
 
     config: EffectiveConfig = dataclasses.field(default_factory=EffectiveConfig)
-    planned: dict[tuple[str, str], objects.SheetTarget] = dataclasses.field(
-        default_factory=dict
-    )
+    planned: dict[tuple[str, str], Target] = dataclasses.field(default_factory=dict)
 
 
 def prepare(parts: collections.abc.Iterable[objects.SheetPart]) -> Base:
     """Return the sheet's configuration without overrides."""
     base = Base()
     config = base.config
-    everything = list(parts)
-    for part in everything:
+    unplaced: list[tuple[str, Target]] = []
+    for part in parts:
         for domain in part.domains:
             config.domain_numbers[domain.name] = domain.number
             config.domain_names[domain.number] = domain.name
@@ -138,16 +142,16 @@
                 service.latency_ms,
             )
             config.by_service.setdefault(service.id, [])
-    for part in everything:
-        for target in part.targets:
-            service_id = config.service_ids.get(target.service)
-            if service_id is None:
-                continue
-            base.planned[(target.service, target.name)] = target
-            merged = merge_target(target, service_id, None)
-            config.targets[merged.id] = merged
-            config.by_service[service_id].append(merged)
-            config.by_domain.setdefault(merged.domain, []).append(merged)
+        unplaced += [(t.service, planned_target(t, 0)) for t in part.targets]
+    for service_name, target in unplaced:
+        service_id = config.service_ids.get(service_name)
+        if service_id is None:
+            continue
+        placed = dataclasses.replace(target, service=service_id)
+        base.planned[(service_name, target.name)] = placed
+        config.targets[placed.id] = placed
+        config.by_service[service_id].append(placed)
+        config.by_domain.setdefault(placed.domain, []).append(placed)
     return base
 
 
@@ -185,11 +189,9 @@
     for place, override in active_overrides(listed, now).items():
         target = base.planned.get(place)
         if target is not None:
-            service_id = config.service_ids[target.service]
-            merged = merge_target(target, service_id, override)
-            config.targets[target.id] = merged
-            services.add(service_id)
-            domains.add(target.failure_domain)
+            config.targets[target.id] = merge_target(target, override)
+            services.add(target.service)
+            domains.add(target.domain)
     for service_id in services:
         config.by_service[service_id] = [
             config.targets[t.id] for t in config.by_service[service_id]
--- a/basilgate/explaining.py
+++ b/basilgate/explaining.py
@@ -15,6 +15,7 @@
     """What one host knows."""
 
     store: replica.Replica
+    base: effective.Base
     config: effective.EffectiveConfig
     members: membership.Membership
     own: collections.abc.Mapping[int, home.Home]
@@ -93,7 +94,7 @@
 def obstacles(
     observer: Observer,
     target: effective.Target,
-    sheet_target: objects.SheetTarget,
+    planned: effective.Target,
     override: objects.Override | None,
     load: Load | None,
 ) -> list[str]:
@@ -104,9 +105,9 @@
             override.kind in ("pull", "drain") or override.weight == 0
         ):
             found.append(f"override {override.id}: {override.kind}")
-        if sheet_target.state == "drain":
+        if planned.leaving:
             found.append("sheet: state drain")
-        if override is None and sheet_target.weight == 0:
+        if override is None and planned.weight == 0:
             found.append("sheet: weight 0")
     ejected = load is not None and not load.healthy
     if ejected and not (target.admits and is_suspected(observer, target)):
@@ -131,23 +132,8 @@
         "answered_by": observer.members.me.host,
         "sheet_version": observer.store.sheet_version,
     }
-    target = next(
-        (
-            target
-            for target in config.by_service.get(config.service_ids.get(service, 0), [])
-            if target.name == name
-        ),
-        None,
-    )
-    planned = next(
-        (
-            part_target
-            for part in observer.store.sheet_parts()
-            for part_target in part.targets
-            if (part_target.service, part_target.name) == (service, name)
-        ),
-        None,
-    )
+    planned = observer.base.planned.get((service, name))
+    target = config.targets.get(planned.id) if planned is not None else None
     if target is None or planned is None:
         known = service in config.service_ids
         what = f"target {name}" if known else f"service {service}"
@@ -171,7 +157,10 @@
         "gets_new_flows": not blocked,
         "obstacles": blocked,
         "weight": target.weight,
-        "sheet": planned.model_dump(mode="json"),
+        "sheet": {
+            "state": "drain" if planned.leaving else "active",
+            "weight": planned.weight,
+        },
         "override": describe_override(observer, in_force) if in_force else None,
         "superseded": [
             describe_override(observer, override)
--- a/basilgate/replica.py
+++ b/basilgate/replica.py
@@ -2,6 +2,9 @@
 
 import collections.abc
 import dataclasses
+import json
+import typing
+import zlib
 
 import logbook
 import xxhash
@@ -52,6 +55,10 @@
 
     stored: dict[str, objects.StoredObject] = dataclasses.field(default_factory=dict)
     parsed: dict[str, objects.Written] = dataclasses.field(default_factory=dict)
+    # Sheet parts as compressed JSON text. They are read when a sheet comes into
+    # force and when a peer asks; decoded, they would fill a fifth of the 64 MB that
+    # a host may use at the capacity goal.
+    packed: dict[str, bytes] = dataclasses.field(default_factory=dict)
     # Newest version of each object that was refused as malformed.
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     revision: int = 0
@@ -149,7 +156,12 @@
             if isinstance(parsed, result.Failure):
                 self.refuse(stored, parsed.failure())
                 return False
-            self.parsed[stored.name] = parsed.unwrap()
+            if objects.is_part(stored.name):
+                text = json.dumps(stored.value).encode()
+                self.packed[stored.name] = zlib.compress(text)
+                stored = dataclasses.replace(stored, value={})
+            else:
+                self.parsed[stored.name] = parsed.unwrap()
         else:
             self.parsed.pop(stored.name, None)
         self.refused.pop(stored.name, None)
@@ -195,7 +207,7 @@
         if not isinstance(newest, objects.Sheet):
             return []
         names = [objects.SHEET_PART_PREFIX + part for part in newest.parts]
-        return [name for name in names if name not in self.parsed]
+        return [name for name in names if name not in self.packed]
 
     def flip_sheet(self) -> None:
         """Bring the newest manifest into force if all its parts are here."""
@@ -212,11 +224,16 @@
         self.sheet = newest
         self.sheet_version = manifest.version
 
-    def sheet_parts(self) -> list[objects.SheetPart]:
+    def sheet_parts(self) -> collections.abc.Iterator[objects.SheetPart]:
         """Return the parts of the sheet in force, in the manifest's order."""
-        names = self.sheet.parts if self.sheet is not None else ()
-        found = [self.parsed.get(objects.SHEET_PART_PREFIX + name) for name in names]
-        return [part for part in found if isinstance(part, objects.SheetPart)]
+        for digest in self.sheet.parts if self.sheet is not None else ():
+            name = objects.SHEET_PART_PREFIX + digest
+            yield objects.SheetPart.model_validate(self.unpack(name))
+
+    def unpack(self, name: str) -> dict[str, typing.Any]:
+        """Return the value of a sheet part."""
+        value: dict[str, typing.Any] = json.loads(zlib.decompress(self.packed[name]))
+        return value
 
     def named_parts(self) -> set[str]:
         """Return the names of parts of the sheet in force and of the newest."""
@@ -241,7 +258,7 @@
         for name in unnamed:
             # Parts written after the manifest may belong to the next one.
             del self.stored[name]
-            self.parsed.pop(name, None)
+            del self.packed[name]
         if self.tombstones <= MAX_TOMBSTONES:
             return
         removed = sorted(
@@ -285,7 +302,9 @@
         """
         named = self.named_parts()
         newer = [
-            stored
+            dataclasses.replace(stored, value=self.unpack(name))
+            if objects.is_part(name)
+            else stored
             for name, stored in self.stored.items()
             if (
                 name in named and name not in revisions
