--- a/lab/cluster.py
+++ b/lab/cluster.py
@@ -143,6 +143,7 @@
         self.http = httpx.AsyncClient(timeout=5.0, trust_env=False)
         self.operator = platformapi.PlatformClient(self.platform_url)
         self.processes: list[anyio.abc.Process] = []
+        self.start_limit_s = START_LIMIT_S
         self.fabric = hostlist.HostList(plan.fabric_lag_s)
 
     def layout(self) -> None:
@@ -305,13 +306,13 @@
         self, what: str, check: collections.abc.Callable[[], typing.Any]
     ) -> None:
         """Wait until an asynchronous check holds."""
-        with anyio.move_on_after(START_LIMIT_S):
+        with anyio.move_on_after(self.start_limit_s):
             while True:
                 with contextlib.suppress(httpx.HTTPError):
                     if await check():
                         return
                 await anyio.sleep(0.1)
-        raise TimeoutError(f"{what} did not happen within {START_LIMIT_S} s")
+        raise TimeoutError(f"{what} did not happen within {self.start_limit_s} s")
 
     async def status(self, name: str) -> dict[str, typing.Any]:
         """Return a balancer's status."""
