--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -181,8 +181,10 @@
     # Configuration.
 
     def has_listed(self) -> bool:
-        """Tell whether all objects of the platform have been read once."""
-        return self.store.complete_revision > 0
+        """Tell whether the platform has been read once, and a sheet if it has one."""
+        if self.store.complete_revision == 0:
+            return False
+        return bool(self.effective.services) or not self.store.missing_parts()
 
     def on_objects(self, applied: list[objects.StoredObject]) -> None:
         """Bring objects that were applied together into force."""
--- a/lab/bench.py
+++ b/lab/bench.py
@@ -2,7 +2,7 @@
 
 import fire
 
-from lab import policybench
+from lab import pathbench, policybench
 
 
 def run(seed: int = 1, seconds: float = 25.0) -> None:
@@ -16,6 +16,7 @@
         Virtual time of one load.
     """
     print(policybench.table(policybench.measure(seed, seconds)))
+    pathbench.main()
 
 
 if __name__ == "__main__":
--- a/lab/pathbench.py
+++ b/lab/pathbench.py
@@ -27,10 +27,8 @@
     client,
     datagrams,
     home,
-    objects,
     opening,
     peering,
-    rendezvous,
     tokens,
     wire,
 )
@@ -152,21 +150,8 @@
     return wire.encode(frame)
 
 
-def add_remote_target(server: solo.Solo) -> int:
-    """Add a target whose home is the second member; return its id."""
-    names = [solo.HOST, solo.PEER]
-    number = next(n for n in range(100, 200) if rendezvous.pick(n, names) == solo.PEER)
-    part = server.balancer.store.parsed[objects.SHEET_PART_PREFIX + "1"]
-    assert isinstance(part, objects.SheetPart)
-    remote = part.targets[0].model_copy(update={"name": "order-desk-2", "id": number})
-    sheet = part.model_copy(update={"targets": (*part.targets, remote)})
-    solo.apply(server.balancer, objects.SHEET_PART_PREFIX + "1", 50, sheet)
-    return number
-
-
 def cases_of(server: solo.Solo, bare: CountedSocket) -> list[Case]:
     """Return the cases; the first is the bare relay."""
-    remote = add_remote_target(server)
     out = CountedSocket(server.balancer.callers)
     server.balancer.callers = out
     own = request(server, solo.TARGET)
@@ -177,7 +162,9 @@
         Case("bare relay", own, (RELAY_ADDRESS, 7000), bare),
         # A repeated request: the home decodes, verifies, looks up, and replies.
         Case("at the home", own, server.callers, out),
-        Case("relay to the home", request(server, remote), server.callers, out),
+        Case(
+            "relay to the home", request(server, solo.OTHER_TARGET), server.callers, out
+        ),
         Case("at the home, relayed", sealed, server.callers, out),
     ]
 
--- a/lab/solo.py
+++ b/lab/solo.py
@@ -29,6 +29,8 @@
 SERVICE = 1
 OTHER_SERVICE = 2
 TARGET = 11
+# The second member is its home, if there is one.
+OTHER_TARGET = 103
 DOMAIN = "suceava"
 OTHER_DOMAIN = "radauti"
 HOST = "solo"
@@ -198,24 +200,28 @@
             objects.SheetService(name="order-desk", id=SERVICE),
             objects.SheetService(name="photo-store", id=OTHER_SERVICE),
         ),
-        targets=(
+        targets=tuple(
             objects.SheetTarget(
-                name="order-desk-1",
-                id=TARGET,
+                name=name,
+                id=number,
                 service="order-desk",
                 failure_domain=DOMAIN,
                 address="127.0.0.1:9",
                 admin="127.0.0.1:9",
                 connections=1_000_000,
-            ),
+            )
+            for name, number in (
+                ("order-desk-1", TARGET),
+                ("order-desk-2", OTHER_TARGET),
+            )
         ),
     )
-    name = objects.content_address(part.model_dump(mode="json"))
+    digest = objects.content_address(part.model_dump(mode="json"))
     now = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
     return {
         "key/1": objects.Key(id=1, secret=KEY.hex()),
-        objects.SHEET_PART_PREFIX + name: part,
-        objects.SHEET: objects.Sheet(date=now.date(), applied_at=now, parts=(name,)),
+        objects.SHEET_PART_PREFIX + digest: part,
+        objects.SHEET: objects.Sheet(date=now.date(), applied_at=now, parts=(digest,)),
     }
 
 
