--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -34,6 +34,9 @@
 # budget: 69 members cost about 65 messages a second each way.
 MIN_INTERVAL_S = 0.5
 MEMBERS_PER_INTERVAL_S = 64
+# Loads are sent less often than heartbeats in large domains: with 9 targets at each
+# of 69 members they would otherwise take 14 KB of the 24 KB a second.
+MEMBERS_PER_LOADS_S = 24
 SUSPECT_AFTER_INTERVAL_S = 1.1
 DEAD_AFTER_INTERVAL_S = 1.7
 LEASE_S = 5.0
@@ -46,6 +49,8 @@
 # A joiner does not wait for the confirmation of a member silent for this long.
 JOIN_ALONE_S = 30.0
 JOIN_RETRY_S = 0.5
+# At most 8 s between two attempts to join.
+JOIN_BACKOFF_DOUBLINGS = 4
 # The last heartbeat is repeated because a datagram can be lost.
 FAREWELL_COPIES = 3
 FAREWELL_PAUSE_S = 0.02
@@ -64,15 +69,16 @@
 class Peer:
     """Another member of the view.
 
-    `suspect_at`, `dead_at`, and `granted_until` are deadlines on the monotonic
-    clock in seconds. `newest_sent_us` is echoed to the peer. `withheld` stops the
-    echo, so that the peer's lease runs out.
+    `suspect_at`, `dead_at`, `granted_until`, and `loads_due_at` are deadlines on
+    the monotonic clock in seconds. `newest_sent_us` is echoed to the peer.
+    `withheld` stops the echo, so that the peer's lease runs out.
     """
 
     member: objects.Member
     suspect_at: float
     dead_at: float
     granted_until: float = 0.0
+    loads_due_at: float = 0.0
     newest_sent_us: int = 0
     heard_epoch: int = 0
     config_revision: int = 0
@@ -98,6 +104,11 @@
     return max(MIN_INTERVAL_S, members / MEMBERS_PER_INTERVAL_S)
 
 
+def loads_interval_s(members: int) -> float:
+    """Return the seconds between two reports of loads to one peer."""
+    return max(MIN_INTERVAL_S, members / MEMBERS_PER_LOADS_S)
+
+
 class Membership:
     """Part of one host in the view of its failure domain.
 
@@ -140,10 +151,16 @@
         self.carried_lease = 0.0
         self.joined_epoch = 0
         self.full = False
-        self.leaving = False
         # Newest sending time in a heartbeat.
         self.sent_us = 0
         self.stopped = False
+        # What the queries return until the next change: the members of the view,
+        # and those among them that lend and that have not ended.
+        self.listed: dict[str, objects.Member] = {}
+        self.current: dict[str, objects.Member] = {}
+        self.current_lenders: dict[str, objects.Member] = {}
+        self.choices = rendezvous.Choices()
+        self.is_leaving_host = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
         # Called with the address of a host that has a newer view.
         self.on_behind: collections.abc.Callable[[tuple[str, int]], None] = lambda _: (
@@ -174,20 +191,30 @@
 
     def is_member(self) -> bool:
         """Tell whether the adopted view holds this incarnation."""
-        return self.view is not None and self.me in self.view.members
+        return self.is_listed(self.me)
+
+    def is_listed(self, member: objects.Member) -> bool:
+        """Tell whether the adopted view holds a member with this incarnation."""
+        return self.listed.get(member.host) == member
 
     def identities(self) -> set[tuple[str, int]]:
         """Return host and incarnation of each member of the view."""
         members = self.view.members if self.view is not None else ()
         return {(member.host, member.incarnation) for member in members}
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this host has announced that it leaves."""
+        return self.is_leaving_host
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        self.is_leaving_host = leaving
+        self.follow_members()
+
     def members(self) -> dict[str, objects.Member]:
         """Return the members of the view that have not ended, by host."""
-        return {
-            name: member
-            for name, member in self.lenders().items()
-            if name not in self.peers or not self.peers[name].successor
-        }
+        return self.current
 
     def lenders(self) -> dict[str, objects.Member]:
         """Return the members whose echo a lease needs, this one included.
@@ -196,19 +223,12 @@
         member that others have removed could keep its lease. A member that
         announced its end removes nobody any more.
         """
-        if self.view is None:
-            return {}
-        return {
-            member.host: member
-            for member in self.view.members
-            if (member.host, member.incarnation) not in self.ended
-        }
+        return self.current_lenders
 
     def home_of(self, target: int) -> objects.Member | None:
         """Return the home of a target of this domain, a staying member if any."""
-        members = self.members()
-        name = rendezvous.pick(target, self.staying() or members)
-        return members[name] if name is not None else None
+        name = self.choices.pick(target)
+        return self.current[name] if name is not None else None
 
     def staying(self) -> list[str]:
         """Return the members that are neither leaving nor held for dead."""
@@ -255,6 +275,29 @@
         peer = self.peers.get(host)
         return peer is not None and anyio.current_time() < peer.dead_at
 
+    # Changes.
+
+    def follow_members(self) -> None:
+        """Take over who is a member and who stays, for the queries."""
+        members = self.view.members if self.view is not None else ()
+        self.listed = {member.host: member for member in members}
+        self.current_lenders = {
+            name: member
+            for name, member in self.listed.items()
+            if (name, member.incarnation) not in self.ended
+        }
+        self.current = {
+            name: member
+            for name, member in self.current_lenders.items()
+            if name not in self.peers or not self.peers[name].successor
+        }
+        self.choices.follow(self.staying() or self.current)
+
+    def changed(self) -> None:
+        """Bring a change of the membership into force."""
+        self.follow_members()
+        self.on_change()
+
     # Views.
 
     def on_object(self, stored: objects.StoredObject) -> None:
@@ -315,7 +358,7 @@
             epoch=view.epoch,
             members=",".join(m.host for m in view.members),
         )
-        self.on_change()
+        self.changed()
 
     async def write_view(
         self, members: collections.abc.Sequence[objects.Member], why: str
@@ -389,32 +432,49 @@
 
     async def run(self) -> None:
         """Join the view and keep the membership until cancelled."""
+        failures = 0
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             for peer in self.peers.values():
                 tasks.start_soon(self.attend, peer)
             while True:
-                if not self.is_member() and not self.leaving and self.may_join():
-                    await self.join()
+                waits = self.leaving or not self.may_join()
+                if self.is_member() or waits or await self.join():
+                    failures = 0
+                else:
+                    failures = min(failures + 1, JOIN_BACKOFF_DOUBLINGS)
                 self.check_full()
-                # Jitter keeps hosts that join together from colliding again.
-                await anyio.sleep(JOIN_RETRY_S * self.rng.uniform(0.2, 1.0))
-
-    async def join(self) -> None:
-        """Add this host to the view of its domain."""
-        if not await self.refresh_view():
-            return
+                # Jitter keeps hosts that join together from colliding again. The
+                # growing pause lets a whole domain join, one write at a time,
+                # within the budget of platform calls.
+                longest_s = JOIN_RETRY_S * 2**failures
+                await anyio.sleep(longest_s * self.rng.uniform(0.2, 1.0))
+
+    async def join(self) -> bool:
+        """Add this host to the view of its domain; False if a call failed."""
+        if not self.is_view_held() and not await self.refresh_view():
+            return False
         others = [
             member
             for member in (self.view.members if self.view is not None else ())
             if member.host != self.me.host
         ]
         if self.view is not None and self.me in self.view.members:
-            return
+            return True
         # A host that the members cannot hear would end their leases by joining.
         silent = {member.host for member in others} - self.heard
-        if not silent or anyio.current_time() >= self.join_alone_at:
-            await self.write_view([*others, self.me], "join")
+        if silent and anyio.current_time() < self.join_alone_at:
+            return True
+        return await self.write_view([*others, self.me], "join")
+
+    def is_view_held(self) -> bool:
+        """Tell whether the replica has the view.
+
+        The write is conditional on the held version, so an old view costs a
+        conflict. Reading it before each attempt would use up the budget of
+        platform calls and leave none for the write.
+        """
+        return self.view_name in self.store.parsed
 
     def check_full(self) -> None:
         """Become a full member once all others have confirmed the join."""
@@ -448,7 +508,7 @@
 
     async def send_heartbeat(self, peer: Peer) -> None:
         """Send one heartbeat; the echo is withheld from a peer held for dead."""
-        known = peer.member in (self.view.members if self.view is not None else ())
+        known = self.is_listed(peer.member)
         echo = peer.newest_sent_us if known and not peer.withheld else 0
         # Each heartbeat is newer than the one before, or it would count as a copy.
         now_us = int(anyio.current_time() * MICROSECONDS)
@@ -462,13 +522,24 @@
             config_revision=self.store.revision,
             config_digest=self.store.digest,
             leaving=self.leaving,
-            loads=self.loads(),
+            loads=self.loads_for(peer),
             ended=[ttypes.EndedMember(host, inc) for host, inc in sorted(self.ended)],
         )
         context = peering.context_of(peer.address)
         datagram = self.codec.encode("heartbeat", message, context)
         await self.send(datagram, peer.address)
 
+    def loads_for(self, peer: Peer) -> list[typing.Any] | None:
+        """Return the loads of this host's targets if a peer's report is due."""
+        now = anyio.current_time()
+        if now < peer.loads_due_at:
+            return None
+        members = len(self.peers) + 1
+        # Half a heartbeat early, since heartbeats set the moments of reports.
+        early_s = interval_s(members) / 2
+        peer.loads_due_at = now + loads_interval_s(members) - early_s
+        return self.loads()
+
     async def answer_stranger(self, address: tuple[str, int]) -> None:
         """Send a heartbeat that confirms nothing to a host outside the view."""
         self.sent_us = max(self.sent_us + 1, int(anyio.current_time() * MICROSECONDS))
@@ -509,7 +580,7 @@
         if not peer.withheld:
             peer.withheld = True
             logs.event(LOGGER.warning, "peer_dead", peer=peer.member.host)
-            self.on_change()
+            self.changed()
         # Lower ranks wait a little, so that one writer usually suffices.
         alive = [name for name in self.members() if self.is_alive(name)]
         order = rendezvous.rank(self.epoch, alive).index(self.me.host)
@@ -533,6 +604,7 @@
         """Write a view without this host; members do it if the platform is down."""
         self.stopped = True
         self.ended.add((self.me.host, self.me.incarnation))
+        self.follow_members()
         for _ in range(FAREWELL_COPIES):
             for peer in list(self.peers.values()):
                 await self.send_heartbeat(peer)
@@ -570,7 +642,7 @@
         pause = interval_s(len(self.peers) + 1)
         if peer.withheld and not peer.removal_pending:
             peer.withheld = False
-            self.on_change()
+            self.changed()
         peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
         peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
         peer.newest_sent_us = message.sent_us
@@ -581,10 +653,11 @@
         peer.heard_epoch = max(peer.heard_epoch, message.epoch)
         peer.config_revision = message.config_revision
         peer.config_digest = message.config_digest
-        peer.loads = message.loads or []
+        if message.loads is not None:
+            peer.loads = message.loads
         if message.leaving and not peer.leaving:
             peer.leaving = True
-            self.on_change()
+            self.changed()
         if message.echo_us and message.epoch == self.epoch:
             until = message.echo_us / MICROSECONDS + LEASE_S
             peer.granted_until = max(peer.granted_until, until)
@@ -596,13 +669,14 @@
         """Note that a member was restarted and is not in the view again yet."""
         peer.successor = incarnation
         peer.newest_sent_us = 0
+        peer.loads_due_at = 0.0
         logs.event(
             LOGGER.info,
             "member_restarted",
             peer=peer.member.host,
             incarnation=incarnation,
         )
-        self.on_change()
+        self.changed()
 
     def mark_ended(self, host: str, incarnation: int) -> None:
         """Record that a member of the view has announced its end."""
@@ -611,7 +685,7 @@
             return
         self.ended.add(key)
         logs.event(LOGGER.info, "member_ended", peer=host, incarnation=incarnation)
-        self.on_change()
+        self.changed()
 
     def on_view_changed(self, message: typing.Any) -> None:
         """Adopt a view of which a peer pushed the difference."""
