--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -92,6 +92,15 @@
     "sheet": SHEET_CELLS,
     "quick": QUICK_CELLS,
     "outage": OUTAGE_CELLS,
+    "short": (
+        SHEET_CELLS[0],
+        Cell(1, 1, 0.0),
+        Cell(1, 1),
+        Cell(16, 1),
+        SHEET_CELLS[-1],
+        Cell(64, 1),
+        Cell(32, 4),
+    ),
     "largest": (Cell(1, 1), Cell(64, 1), Cell(64, 8), SHEET_CELLS[-1]),
 }
 # Calls that balancers make; the writer of the changes uses other paths.
@@ -206,10 +215,14 @@
 
 
 async def control_counters(running: StubbedCluster, name: str) -> dict[str, float]:
-    """Return a balancer's counts of control messages and bytes, by kind."""
+    """Return a balancer's counts of control messages and bytes, by kind.
+
+    `at_s` is the time of the reading: reading 64 balancers takes seconds on a busy
+    machine, so that each has its own span.
+    """
     url = running.hosts[name].admin_url + "/metrics"
     text = (await running.http.get(url)).text
-    found = {}
+    found = {"at_s": time.monotonic()}
     for line in text.splitlines():
         for metric in ("control_bytes", "control_messages"):
             prefix = f"basilgate_{metric}_total{{"
@@ -245,8 +258,9 @@
     for name in names:
         later = await control_counters(running, name)
         span = after[name].at_s - before[name].at_s
+        counted_s = later.pop("at_s") - counters[name]["at_s"]
         rate = {
-            kind: (value - counters[name].get(kind, 0.0)) / taken_s
+            kind: (value - counters[name].get(kind, 0.0)) / counted_s
             for kind, value in later.items()
         }
         rate["cpu_share"] = (after[name].cpu_s - before[name].cpu_s) / span
@@ -406,7 +420,7 @@
     Parameters
     ----------
     matrix : str
-        One of all, slopes, targets, sheet, largest, outage, quick.
+        One of all, slopes, targets, sheet, largest, short, outage, quick.
     window_s : float
         Length of one window in seconds.
     windows : int
