--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -419,6 +419,9 @@
         """Put a request in the queue, move it elsewhere, or refuse it."""
         if record.idempotent and await self.context.move(self, record):
             return
+        if self.is_blocked():
+            await self.refuse(record, reasons.Reason.TARGET_UNHEALTHY)
+            return
         waiting = queueing.Waiting(
             record.key,
             record.deadline_ms,
@@ -438,6 +441,12 @@
             return
         self.work_added.set()
 
+    def is_blocked(self) -> bool:
+        """Tell whether the target is out of use and nothing can be sent to it."""
+        if self.healthy:
+            return False
+        return self.connected_slots == 0 or self.slots_in_use() >= self.target.slots
+
     def allowance_ms(self, record: Record) -> int:
         """Return the time before its deadline at which a request should start.
 
@@ -587,6 +596,8 @@
             chosen.started_at = anyio.current_time()
             self.running[chosen.key] = chosen
             self.occupancy.change(chosen.work_class, 1)
+            waited_s = chosen.started_at - chosen.arrived_at
+            metrics.QUEUE_TIME.observe(self.labels(chosen), waited_s)
         return chosen
 
     def release(self, record: Record) -> bool:
@@ -691,6 +702,16 @@
             record.frame, deadline_ms=self.start_by_ms(record), token=wire.EMPTY_TOKEN
         )
 
+    def check_piece(self, record: Record, frame: wire.Frame) -> reasons.Reason:
+        """Return why an answer piece of the target cannot be taken, NONE if it can."""
+        answer = record.answer or Answer(expected=max(frame.pieces, 1))
+        if answer.size + len(frame.body) > self.context.max_answer_bytes:
+            return reasons.Reason.ANSWER_TOO_LARGE
+        in_order = frame.piece == len(answer.pieces) < answer.expected
+        if not in_order or max(frame.pieces, 1) != answer.expected:
+            return reasons.Reason.MALFORMED
+        return reasons.Reason.NONE
+
     async def on_piece(self, record: Record, frame: wire.Frame) -> bool:
         """Take one answer piece from the target; True after the last one."""
         if record.answer is None:
@@ -761,15 +782,19 @@
         if self.handed_over_to:
             await self.context.report(self, record)
 
+    def labels(self, record: Record) -> dict[str, str]:
+        """Return the labels of a request in the metrics."""
+        return {
+            "service": self.service.name,
+            "work_class": record.work_class.name.lower(),
+        }
+
     def count(self, record: Record) -> None:
         """Count an ended request in the metrics."""
         outcome = record.state.name.lower()
         if record.reason is not reasons.Reason.NONE:
             outcome += ":" + reasons.label(record.reason)
-        labels = {
-            "service": self.service.name,
-            "work_class": record.work_class.name.lower(),
-        }
+        labels = self.labels(record)
         metrics.REQUESTS.inc({**labels, "outcome": outcome})
         if record.state is RecordState.ANSWERED:
             metrics.LATENCY.observe(labels, anyio.current_time() - record.arrived_at)
@@ -800,6 +825,7 @@
     async def expire(self) -> None:
         """Drop what is past its deadline: queued work, records, idle flows."""
         now = now_ms()
+        blocked = self.is_blocked()
         for waiting in list(self.queue.waiting()):
             record = self.records.get(waiting.key)
             if record is None:
@@ -810,6 +836,10 @@
             elif self.running and self.admission.too_late(waiting, now):
                 self.queue.remove(waiting.key)
                 await self.refuse(record, reasons.Reason.DEADLINE_UNREACHABLE)
+            elif blocked:
+                self.queue.remove(waiting.key)
+                if not (record.idempotent and await self.context.move(self, record)):
+                    await self.refuse(record, reasons.Reason.TARGET_UNHEALTHY)
         settled = self.waiting_ended()
         for record in list(self.records.values()):
             if record.state is RecordState.WAITING and settled:
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -151,6 +151,8 @@
         self.carried_lease = 0.0
         self.joined_epoch = 0
         self.full = False
+        # Newest sending time in a heartbeat.
+        self.sent_us = 0
         self.stopped = False
         # What the queries return until the next change: the members of the view,
         # and those among them that lend and that have not ended.
@@ -168,6 +170,9 @@
         # silence of the members keeps it from joining.
         self.heard: set[str] = set()
         self.join_alone_at = anyio.current_time() + JOIN_ALONE_S
+        # A host that joined before it had the configuration would not know whose
+        # targets it takes over, and would run their requests without the records.
+        self.may_join: collections.abc.Callable[[], bool] = lambda: True
         self.on_change: collections.abc.Callable[[], None] = lambda: None
         self.tasks: anyio.abc.TaskGroup | None = None
         store.subscribe(self.on_object)
@@ -418,8 +423,9 @@
                 if member not in former.members
             ],
         )
-        datagram = self.codec.encode("view_changed", message)
         for peer in list(self.peers.values()):
+            context = peering.context_of(peer.address)
+            datagram = self.codec.encode("view_changed", message, context)
             await self.send(datagram, peer.address)
 
     # Tasks.
@@ -432,7 +438,8 @@
             for peer in self.peers.values():
                 tasks.start_soon(self.attend, peer)
             while True:
-                if self.is_member() or self.leaving or await self.join():
+                settled = self.is_member() or self.leaving or not self.may_join()
+                if settled or await self.join():
                     failures = 0
                 else:
                     failures = min(failures + 1, JOIN_BACKOFF_DOUBLINGS)
@@ -503,11 +510,14 @@
         """Send one heartbeat; the echo is withheld from a peer held for dead."""
         known = self.is_listed(peer.member)
         echo = peer.newest_sent_us if known and not peer.withheld else 0
+        # Each heartbeat is newer than the one before, or it would count as a copy.
+        now_us = int(anyio.current_time() * MICROSECONDS)
+        self.sent_us = max(self.sent_us + 1, now_us)
         message = ttypes.Heartbeat(
             host=self.me.host,
             incarnation=self.me.incarnation,
             epoch=self.epoch,
-            sent_us=int(anyio.current_time() * MICROSECONDS),
+            sent_us=self.sent_us,
             echo_us=echo,
             config_revision=self.store.revision,
             config_digest=self.store.digest,
@@ -515,7 +525,9 @@
             loads=self.loads_for(peer),
             ended=[ttypes.EndedMember(host, inc) for host, inc in sorted(self.ended)],
         )
-        await self.send(self.codec.encode("heartbeat", message), peer.address)
+        context = peering.context_of(peer.address)
+        datagram = self.codec.encode("heartbeat", message, context)
+        await self.send(datagram, peer.address)
 
     def loads_for(self, peer: Peer) -> list[typing.Any] | None:
         """Return the loads of this host's targets if a peer's report is due."""
@@ -530,17 +542,19 @@
 
     async def answer_stranger(self, address: tuple[str, int]) -> None:
         """Send a heartbeat that confirms nothing to a host outside the view."""
+        self.sent_us = max(self.sent_us + 1, int(anyio.current_time() * MICROSECONDS))
         message = ttypes.Heartbeat(
             host=self.me.host,
             incarnation=self.me.incarnation,
             epoch=self.epoch,
-            sent_us=int(anyio.current_time() * MICROSECONDS),
+            sent_us=self.sent_us,
             echo_us=0,
             config_revision=self.store.revision,
             config_digest=self.store.digest,
             leaving=self.leaving,
         )
-        await self.send(self.codec.encode("heartbeat", message), address)
+        context = peering.context_of(address)
+        await self.send(self.codec.encode("heartbeat", message, context), address)
 
     def seems_isolated(self) -> bool:
         """Tell whether all of several peers fell silent at about the same time.
@@ -607,7 +621,6 @@
         """Take in a heartbeat; return a reason if it is refused."""
         if message.epoch > self.epoch:
             self.on_behind(address)
-        self.heard.add(message.host)
         peer = self.peers.get(message.host)
         if peer is None:
             if self.is_member() and self.tasks is not None:
@@ -621,15 +634,19 @@
                 return reasons.Reason.UNKNOWN_PEER
             self.on_successor(peer, message.incarnation)
         now = anyio.current_time()
-        if message.echo_us > now * MICROSECONDS:
+        if message.echo_us > self.sent_us:
             return reasons.Reason.MALFORMED
+        if message.sent_us <= peer.newest_sent_us:
+            # A copy proves nothing about the present and must not delay removal.
+            return reasons.Reason.DUPLICATE
         pause = interval_s(len(self.peers) + 1)
         if peer.withheld and not peer.removal_pending:
             peer.withheld = False
             self.changed()
         peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
         peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
-        peer.newest_sent_us = max(peer.newest_sent_us, message.sent_us)
+        peer.newest_sent_us = message.sent_us
+        self.heard.add(message.host)
         if message.epoch > peer.heard_epoch and self.tasks is not None:
             # An answer at once spares a new epoch the wait for the next interval.
             self.tasks.start_soon(self.send_heartbeat, peer)
--- a/basilgate/slots.py
+++ b/basilgate/slots.py
@@ -152,6 +152,13 @@
             # Late frame of a request that was given up on this connection.
             continue
         if frame.kind is wire.Kind.ANSWER:
+            refused = owner.check_piece(record, frame)
+            if refused is reasons.Reason.ANSWER_TOO_LARGE:
+                await owner.finish(record, home.RecordState.UNKNOWN, refused)
+                return False
+            if refused is not reasons.Reason.NONE:
+                await connection_lost(owner, record)
+                return False
             if await owner.on_piece(record, frame):
                 await owner.finish(record, home.RecordState.ANSWERED)
                 return True
@@ -168,16 +175,16 @@
 
 
 async def cancelled(owner: home.Home, record: home.Record, started: bool) -> None:
-    """End a request that the target cancelled."""
+    """End a request that the target cancelled, for its caller or at its deadline."""
+    asked = record.cancel.is_set()
     if started:
-        await owner.finish(
-            record,
-            home.RecordState.UNKNOWN,
-            reasons.Reason.CANCELLED_AFTER_START,
-        )
+        after_start = reasons.Reason.CANCELLED_AFTER_START
+        reason = after_start if asked else reasons.Reason.DEADLINE_PASSED
+        await owner.finish(record, home.RecordState.UNKNOWN, reason)
     else:
         record.forwarded = record.forwards > 1
-        await owner.refuse(record, reasons.Reason.CANCELLED)
+        reason = reasons.Reason.CANCELLED if asked else reasons.Reason.DEADLINE_PASSED
+        await owner.refuse(record, reason)
 
 
 async def not_started(
--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -12,6 +12,7 @@
       | a last request without an answer          | flow_broken         |
       | a start at another target of the service  | flow_broken         |
       | an unknown outcome without a fault        | request_cut         |
+      | a failed open without a fault             | open_failed         |
       | a start at a target of another service    | wrong_service       |
       | an answer to another request              | wrong_answer        |
       | a started request reported as not run     | false_not_run       |
@@ -20,6 +21,7 @@
       | a planned stop with status 1              | unclean_stop        |
       | a balancer that goes back a revision      | config_reverted     |
       | a balancer without an override after 4 s  | config_late         |
+      | a running balancer outside the view       | not_member          |
       | a fourth request in flight                | too_many_in_flight  |
 
   Scenario: A run without violations is reported as clean
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -240,7 +240,8 @@
 
     def receive(self, datagram: bytes, sender: tuple[str, int]) -> None:
         """Handle a control message."""
-        field, message = self.network.codec.decode(datagram).unwrap()
+        context = peering.context_of(self.address)
+        field, message = self.network.codec.decode(datagram, context).unwrap()
         if field == "heartbeat":
             self.members.on_heartbeat(message, sender)
         elif field == "view_changed":
