--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -98,6 +98,7 @@
             1 << 62,
             True,
             [ttypes.TargetLoad(s, 0, 9, 300, 1, 999) for s in asked],
+            sent_ms=1_780_000_000_000,
         )
         assert asked
         return len(CODEC.encode("domain_ping", message)) + HEADER_BYTES
