--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -603,7 +603,8 @@
         if message.reply_wanted:
             asked = [load.target for load in message.loads or []]
             limited = asked[: spill.SERVICES_PER_PING]
-            await self.send_to_peer(self.ping(address, limited, False), address)
+            reply = self.ping(address, limited, reply_wanted=False)
+            await self.send_to_peer(reply, address)
 
     def ping(
         self,
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -438,8 +438,8 @@
             for peer in self.peers.values():
                 tasks.start_soon(self.attend, peer)
             while True:
-                settled = self.is_member() or self.leaving or not self.may_join()
-                if settled or await self.join():
+                waits = self.leaving or not self.may_join()
+                if self.is_member() or waits or await self.join():
                     failures = 0
                 else:
                     failures = min(failures + 1, JOIN_BACKOFF_DOUBLINGS)
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -49,8 +49,8 @@
     async def send(self, datagram, address):
         """Count a datagram and let the peer answer."""
         self.bytes += len(datagram) + HEADER_BYTES
-        context = peering.context_of(address)
-        field, message = CODEC.decode(datagram, context).unwrap()
+        context_bytes = peering.context_of(address)
+        field, message = CODEC.decode(datagram, context_bytes).unwrap()
         if field != "heartbeat":
             return
         now = anyio.current_time()
