--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -10,7 +10,6 @@
 
 import anyio
 import anyio.abc
-import anyio.streams.buffered
 import fire
 import fire.decorators
 import logbook
@@ -24,6 +23,8 @@
     datagrams,
     effective,
     errors,
+    explaining,
+    gauges,
     home,
     homes,
     logs,
@@ -38,11 +39,13 @@
     probing,
     queueing,
     reasons,
+    registry,
     rendezvous,
     replica,
     retries,
     settings,
     spill,
+    tls,
     tokens,
     wire,
 )
@@ -56,8 +59,17 @@
 
 UPKEEP_S = 1.0
 PING_INTERVAL_S = 1.0
+# The lifetime of a datagram in the fabric, and twice the bound of clock skew.
+PING_LIFETIME_S = membership.DATAGRAM_LIFETIME_S + 2 * membership.CLOCK_SKEW_S
 DOMAIN_UNREACHABLE_S = 3.0
 STOP_POLL_S = 0.1
+# Peers hold a host that is silent for longer for dead.
+LOOP_LAG_LIMIT_S = membership.DEAD_AFTER_INTERVAL_S
+
+
+# Names of enumeration members are slow to get.
+KIND_LABELS = {kind: {"kind": kind.name.lower()} for kind in wire.Kind}
+DROP_LABELS = {reason: {"reason": reasons.label(reason)} for reason in reasons.Reason}
 
 
 class Balancer:
@@ -78,11 +90,14 @@
     ) -> None:
         self.settings = config
         self.socket_factory = socket_factory
-        self.codec = peering.Codec(bytes.fromhex(config.peers.secret))
+        self.codec = peering.Codec(
+            bytes.fromhex(config.peers.secret), tls.calling(config.tls)
+        )
         self.ring = tokens.KeyRing()
         self.store = replica.Replica()
         self.effective = effective.EffectiveConfig()
-        self.parts: list[objects.SheetPart] = []
+        self.base = effective.Base()
+        self.base_version = 0
         self.rng = random.Random(time.time_ns())
         self.callers: datagrams.DatagramSocket
         self.peers: datagrams.DatagramSocket
@@ -132,6 +147,7 @@
             share_by_flow=config.limits.caller_identity == "flow",
         )
         self.homes = homes.Homes(self.members, context, self.codec)
+        self.homes.answer_buffer_bytes = config.limits.answer_buffer_bytes
         self.opener = opening.Opener(
             self.members,
             self.homes,
@@ -152,41 +168,49 @@
             configsync.addresses(config.peers.seeds),
             config.platform.watch_timeout_s,
         )
-        self.store.subscribe(self.on_object)
+        self.members.on_behind = self.sync.note_behind
+        self.store.subscribe_batches(self.on_objects)
+        self.members.may_join = self.has_listed
+        self.clock = gauges.LoopClock()
+        self.peers_context = peering.context_of(
+            settings.split_address(config.listen.peers)
+        )
         # Monotonic time until which each other domain counts as reachable.
         self.reachable_until: dict[str, float] = {}
 
     # Configuration.
 
-    def on_object(self, stored: objects.StoredObject) -> None:
-        """Bring an applied object into force."""
-        if stored.name.startswith(objects.KEY_PREFIX):
+    def has_listed(self) -> bool:
+        """Tell whether all objects of the platform have been read once."""
+        return self.store.complete_revision > 0
+
+    def on_objects(self, applied: list[objects.StoredObject]) -> None:
+        """Bring objects that were applied together into force."""
+        names = [stored.name for stored in applied]
+        if any(name.startswith(objects.KEY_PREFIX) for name in names):
             self.load_keys()
-        elif stored.name.startswith(objects.VIEW_PREFIX):
-            return
-        else:
+        others = (objects.KEY_PREFIX, objects.VIEW_PREFIX)
+        if any(not name.startswith(others) for name in names):
             self.load_config()
 
     def load_keys(self) -> None:
         """Take the token keys from the replica."""
-        held = self.store.under(objects.KEY_PREFIX).values()
+        held = self.store.accepted_order(objects.KEY_PREFIX)
         keys = [key for key in held if isinstance(key, objects.Key)]
         for key in keys:
             self.ring.add(key.id, bytes.fromhex(key.secret))
         self.ring.retain({key.id for key in keys})
+        now = datetime.datetime.now(datetime.UTC)
+        self.ring.current = effective.signing_key(keys, now) or 0
 
     def load_config(self) -> None:
         """Merge sheet and overrides; an incomplete sheet changes nothing."""
-        sheet, parts = effective.sheet_parts(self.store)
-        if sheet is not None:
-            self.parts = parts
-        overrides = [
-            value
-            for value in self.store.under(objects.OVERRIDE_PREFIX).values()
-            if isinstance(value, objects.Override)
-        ]
         now = datetime.datetime.now(datetime.UTC)
-        self.effective = effective.merge(self.parts, overrides, now)
+        if self.base_version != self.store.sheet_version:
+            self.base = effective.prepare(self.store.sheet_parts())
+            self.base_version = self.store.sheet_version
+        overrides = effective.overrides_of(self.store)
+        self.effective = effective.merge(self.base, overrides, now)
         self.opener.config = self.effective
         self.homes.reassign(self.effective)
 
@@ -234,7 +258,7 @@
             drop(decoded.failure())
             return
         frame = decoded.unwrap()
-        metrics.FRAMES.inc({"kind": frame.kind.name.lower()})
+        metrics.FRAMES.inc(KIND_LABELS[frame.kind])
         await self.route(frame, datagram, caller, hops=0, flags=0)
 
     async def serve_peers(self) -> None:
@@ -326,11 +350,16 @@
         member = self.home_of(target, frame.attempt)
         if member is None:
             drop(reasons.Reason.NO_HOME)
-        elif member == self.members.me:
+        elif self.is_me(member):
             await self.serve(target, frame, datagram, caller, hops)
         else:
             await self.relay(member, datagram, caller, hops, flags)
 
+    def is_me(self, member: objects.Member) -> bool:
+        """Tell whether a member is this process, without comparing all fields."""
+        me = self.members.me
+        return member.incarnation == me.incarnation and member.host == me.host
+
     def home_of(
         self, target: effective.Target, attempt: int = 0
     ) -> objects.Member | None:
@@ -374,8 +403,11 @@
             await self.send_to_caller(alive, caller)
             return
         former = self.homes.former_of(target.id, frame)
+        if former == self.members.me.host:
+            drop(await self.homes.on_left_frame(target.id, frame, caller))
+            return
         member = self.members.members().get(former) if former else None
-        if member is not None and member != self.members.me:
+        if member is not None:
             await self.relay(member, datagram, caller, hops, RELAY_TO_FORMER)
             return
         drop(await entry.on_frame(frame, caller))
@@ -533,13 +565,15 @@
 
     async def on_control(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Handle a control message that came as a datagram."""
-        decoded = self.codec.decode(datagram)
+        decoded = self.codec.decode(datagram, self.peers_context)
         if isinstance(decoded, result.Failure):
             drop(decoded.failure())
             return
         field, message = decoded.unwrap()
         if field == "heartbeat":
+            started_s = time.thread_time()
             refused = self.members.on_heartbeat(message, address)
+            metrics.CONTROL_CPU.add({}, time.thread_time() - started_s)
             if refused is not None:
                 drop(refused)
                 return
@@ -557,15 +591,19 @@
 
     async def on_ping(self, message: typing.Any, address: tuple[str, int]) -> None:
         """Note that another domain is reachable, and answer."""
+        if abs(clock.unix_s() - message.sent_ms / 1000) > PING_LIFETIME_S:
+            drop(reasons.Reason.STALE)
+            return
         now = anyio.current_time()
         self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
         self.domain_loads.update(message.domain, message.loads or [])
-        if message.config_digest != self.store.digest:
-            self.sync.behind.add(address)
+        self.sync.on_peer_digest(
+            address, message.config_revision, message.config_digest
+        )
         if message.reply_wanted:
-            await self.send_to_peer(self.ping(reply_wanted=False), address)
+            await self.send_to_peer(self.ping(address, reply_wanted=False), address)
 
-    def ping(self, reply_wanted: bool) -> bytes:
+    def ping(self, address: tuple[str, int], reply_wanted: bool) -> bytes:
         """Return a ping to another failure domain."""
         message = ttypes.DomainPing(
             self.members.me.host,
@@ -577,8 +615,10 @@
             self.domain_loads.report(
                 list(self.effective.services), self.opener.candidates
             ),
+            sent_ms=clock.unix_ms(),
         )
-        return self.codec.encode("domain_ping", message)
+        context = peering.context_of(address)
+        return self.codec.encode("domain_ping", message, context)
 
     async def ping_domains(self) -> None:
         """Ping one random member of each other domain."""
@@ -589,7 +629,8 @@
                 if view.members:
                     member = self.rng.choice(view.members)
                     address = settings.split_address(member.peers)
-                    await self.send_to_peer(self.ping(reply_wanted=True), address)
+                    datagram = self.ping(address, reply_wanted=True)
+                    await self.send_to_peer(datagram, address)
             await anyio.sleep(PING_INTERVAL_S)
 
     def is_reachable(self, domain: str) -> bool:
@@ -598,26 +639,10 @@
             return True
         return self.reachable_until.get(domain, 0.0) > anyio.current_time()
 
-    async def serve_call(self, stream: anyio.abc.SocketStream) -> None:
+    async def serve_call(self, stream: anyio.abc.ByteStream) -> None:
         """Answer one call of a peer over TCP."""
-        reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
         async with stream:
-            with anyio.move_on_after(peering.CALL_TIMEOUT_S):
-                try:
-                    decoded = self.codec.decode(await peering.receive_stream(reader))
-                    if isinstance(decoded, result.Failure):
-                        drop(decoded.failure())
-                        return
-                    reply = await self.answer_call(*decoded.unwrap())
-                    await peering.send_stream(stream, self.codec.encode(*reply))
-                except (
-                    OSError,
-                    ValueError,
-                    anyio.EndOfStream,
-                    anyio.IncompleteRead,
-                    anyio.BrokenResourceError,
-                ):
-                    drop(reasons.Reason.MALFORMED)
+            drop(await peering.answer_call(self.codec, stream, self.answer_call))
 
     async def answer_call(
         self, field: str, message: typing.Any
@@ -638,9 +663,29 @@
 
     # Queries.
 
+    def observer(self) -> explaining.Observer:
+        """Return what queries look at."""
+        return explaining.Observer(
+            self.store, self.effective, self.members, self.homes.homes
+        )
+
+    def explain(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
+        """Return why a target gets or does not get new flows."""
+        return explaining.explain(
+            self.observer(),
+            parameters.get("service", ""),
+            parameters.get("target", ""),
+            datetime.datetime.now(datetime.UTC),
+        )
+
     def status(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
-        """Return what this host knows of itself and its domain."""
-        del parameters
+        """Return what this host knows of itself and its domain.
+
+        ``objects`` is a comma-separated list of objects whose versions in force
+        are wanted.
+        """
+        wanted = [name for name in parameters.get("objects", "").split(",") if name]
+        observer = self.observer()
         view = self.members.view
         return {
             "host": self.members.me.host,
@@ -651,6 +696,10 @@
             "leaving": self.members.leaving,
             "revision": self.store.revision,
             "digest": self.store.digest,
+            "configuration": explaining.configuration(observer, wanted),
+            "platform_lost_at": self.sync.platform_lost_at,
+            "targets": explaining.notable_targets(observer),
+            "directory": explaining.directory(self.store),
             "members": [m.host for m in view.members] if view is not None else [],
             "peers": {
                 name: {
@@ -677,6 +726,21 @@
             },
         }
 
+    def health(self) -> dict[str, typing.Any]:
+        """Return whether this host serves, and what speaks against it."""
+        lag_s = self.clock.lag_s()
+        checks = {
+            "member": self.members.is_member(),
+            "configured": bool(self.effective.services and self.ring.keys),
+            "loop_alive": lag_s < LOOP_LAG_LIMIT_S,
+            "staying": not self.members.leaving,
+        }
+        return {"healthy": all(checks.values()), **checks, "loop_lag_s": lag_s}
+
+    def refresh_metrics(self) -> None:
+        """Bring the gauges up to date."""
+        gauges.refresh(self.members, self.homes, self.effective, self.clock)
+
     # Life.
 
     async def upkeep(self) -> None:
@@ -685,6 +749,7 @@
             await anyio.sleep(UPKEEP_S)
             self.opener.forget()
             await self.rebalance()
+            self.load_keys()
             expiry = self.effective.next_expiry_s
             if expiry is not None and expiry <= clock.unix_s():
                 self.load_config()
@@ -695,22 +760,33 @@
         self.callers = await self.socket_factory(settings.split_address(listen.callers))
         self.peers = await self.socket_factory(settings.split_address(listen.peers))
         calls_address = settings.split_address(listen.peers)
-        calls = await anyio.create_tcp_listener(
-            local_host=calls_address[0], local_port=calls_address[1]
+        calls = tls.listener(
+            await anyio.create_tcp_listener(
+                local_host=calls_address[0], local_port=calls_address[1]
+            ),
+            self.settings.tls,
+        )
+        application = admin.application(
+            {"status": self.status, "explain": self.explain},
+            self.health,
+            self.refresh_metrics,
         )
-        application = admin.application({"status": self.status}, lambda: True)
         async with self.platform, anyio.create_task_group() as tasks:
             self.homes.tasks = tasks
             tasks.start_soon(self.serve_callers)
             tasks.start_soon(self.serve_peers)
             tasks.start_soon(calls.serve, self.serve_call)
             tasks.start_soon(
-                admin.serve, application, settings.split_address(listen.admin)
+                admin.serve,
+                application,
+                settings.split_address(listen.admin),
+                tls.serving(self.settings.tls, "admin"),
             )
             tasks.start_soon(self.sync.run)
             tasks.start_soon(self.members.run)
             tasks.start_soon(self.ping_domains)
             tasks.start_soon(self.upkeep)
+            tasks.start_soon(self.clock.run)
             logs.event(LOGGER.info, "started", incarnation=self.members.me.incarnation)
             await wait_for_signal()
             await self.stop()
@@ -728,7 +804,8 @@
         self.on_view_change()
         while anyio.current_time() < stop_at:
             alone = not self.members.staying()
-            if self.homes.is_idle() and (alone or not self.homes.homes):
+            handed_over = not self.homes.homes and not self.homes.departing
+            if self.homes.is_idle() and (alone or handed_over):
                 break
             await anyio.sleep(STOP_POLL_S)
         await self.members.leave()
@@ -737,7 +814,7 @@
 def drop(reason: reasons.Reason) -> None:
     """Count a datagram that is not served; NONE stands for one that was."""
     if reason is not reasons.Reason.NONE:
-        metrics.DROPPED.inc({"reason": reasons.label(reason)})
+        metrics.DROPPED.inc(DROP_LABELS[reason])
 
 
 async def wait_for_signal() -> None:
@@ -759,6 +836,19 @@
     sys.exit(run_process(settings_file))
 
 
+def unknown_policy(config: settings.Settings) -> str:
+    """Return one line about a policy that does not exist, empty if all do."""
+    chosen: tuple[tuple[str, registry.Registry[typing.Any], str], ...] = (
+        ("placement", placement.POLICIES, config.policies.placement),
+        ("queueing", queueing.POLICIES, config.policies.queueing),
+    )
+    for key, policies, name in chosen:
+        if name not in policies.entries:
+            known = ", ".join(policies.names())
+            return f"[policies] {key}: unknown policy {name!r}; known: {known}"
+    return ""
+
+
 def run_process(
     settings_file: str, socket_factory: datagrams.Factory = datagrams.open_socket
 ) -> int:
@@ -768,6 +858,10 @@
         print(f"{settings_file}: {loaded.failure()}", file=sys.stderr)
         return 2
     config = loaded.unwrap()
+    wrong = tls.problem(config.tls) or unknown_policy(config)
+    if wrong:
+        print(f"{settings_file}: {wrong}", file=sys.stderr)
+        return 2
     logs.start(config.logging.level, host=config.host.name)
 
     async def run() -> None:
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -18,6 +18,7 @@
     errors,
     health,
     logs,
+    membership,
     metrics,
     peering,
     queueing,
@@ -28,8 +29,6 @@
 
 LOGGER = logbook.Logger("home")
 
-# A copy of a datagram does not arrive later than this after its first copy.
-DATAGRAM_LIFETIME_S = 2.0
 UNPROMPTED_PIECES = 32
 MAX_PULLED_PIECES = 64
 ANSWER_KEPT_S = 15.0
@@ -206,12 +205,19 @@
         Its service.
     context : Context
         What the home needs of its balancer.
+    host : str
+        Name of this host.
     """
 
     def __init__(
-        self, target: effective.Target, service: effective.Service, context: Context
+        self,
+        target: effective.Target,
+        service: effective.Service,
+        context: Context,
+        host: str,
     ) -> None:
         self.target = target
+        self.host = host
         self.service = service
         self.context = context
         self.records: dict[queueing.Key, Record] = {}
@@ -225,12 +231,16 @@
         self.running: dict[queueing.Key, Record] = {}
         # Requests left at a former home that still use a slot there.
         self.former_running: set[queueing.Key] = set()
+        # Number of requests that run at earlier homes of the target in this process.
+        self.left_running: collections.abc.Callable[[], int] = lambda: 0
         self.work_added = anyio.Event()
         # Monotonic time from which non-idempotent work may be forwarded;
         # infinite while the former home is not known to have lost its right.
         self.authority_at = 0.0
         # Host whose handover is awaited; nothing is forwarded before it.
         self.awaiting_from = ""
+        # Host whose handover gives the right, also when it comes after its end.
+        self.awaited = ""
         # Host and incarnation of the former home while its right may still hold.
         self.former: tuple[str, int] | None = None
         # Serials of the handovers that were taken.
@@ -275,13 +285,27 @@
         complete : bool
             Whether no request can be known to a former home only.
         """
+        if self.awaiting_from and not former:
+            self.suspend_queue()
         self.authority_at = authority_at
         self.awaiting_from = former
+        self.awaited = former or self.awaited
         if not complete:
-            limit_s = self.context.max_deadline_s + DATAGRAM_LIFETIME_S
+            limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
             self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
         self.work_added.set()
 
+    def suspend_queue(self) -> None:
+        """Set aside what was queued for a handover that will not come.
+
+        The former home, or one that stood in for it, may have run copies.
+        """
+        for waiting in list(self.queue.waiting()):
+            record = self.records.get(waiting.key)
+            if record is not None and not record.idempotent:
+                self.queue.remove(waiting.key)
+                record.state = RecordState.WAITING
+
     # Frames from callers.
 
     async def on_frame(self, frame: wire.Frame, caller: wire.Address) -> reasons.Reason:
@@ -340,7 +364,8 @@
             arrived_at=anyio.current_time(),
             first_attempt=frame.attempt,
             work_class=self.classify(frame),
-            keep_until_ms=frame.deadline_ms + int(DATAGRAM_LIFETIME_S * 1000),
+            keep_until_ms=frame.deadline_ms
+            + int(membership.DATAGRAM_LIFETIME_S * 1000),
             frame=frame,
             forwarded=bool(frame.flags & wire.FLAG_STARTED),
             forwards=int(bool(frame.flags & wire.FLAG_STARTED)),
@@ -571,6 +596,8 @@
             chosen.started_at = anyio.current_time()
             self.running[chosen.key] = chosen
             self.occupancy.change(chosen.work_class, 1)
+            waited_s = chosen.started_at - chosen.arrived_at
+            metrics.QUEUE_TIME.observe(self.labels(chosen), waited_s)
         return chosen
 
     def release(self, record: Record) -> bool:
@@ -622,7 +649,7 @@
 
     def slots_in_use(self) -> int:
         """Return the slots of the target that have work, here or at a former home."""
-        return len(self.running) + len(self.former_running)
+        return len(self.running) + len(self.former_running) + self.left_running()
 
     def long_running(self) -> int:
         """Return the number of slots that have long work."""
@@ -675,6 +702,16 @@
             record.frame, deadline_ms=self.start_by_ms(record), token=wire.EMPTY_TOKEN
         )
 
+    def check_piece(self, record: Record, frame: wire.Frame) -> reasons.Reason:
+        """Return why an answer piece of the target cannot be taken, NONE if it can."""
+        answer = record.answer or Answer(expected=max(frame.pieces, 1))
+        if answer.size + len(frame.body) > self.context.max_answer_bytes:
+            return reasons.Reason.ANSWER_TOO_LARGE
+        in_order = frame.piece == len(answer.pieces) < answer.expected
+        if not in_order or max(frame.pieces, 1) != answer.expected:
+            return reasons.Reason.MALFORMED
+        return reasons.Reason.NONE
+
     async def on_piece(self, record: Record, frame: wire.Frame) -> bool:
         """Take one answer piece from the target; True after the last one."""
         if record.answer is None:
@@ -745,15 +782,19 @@
         if self.handed_over_to:
             await self.context.report(self, record)
 
+    def labels(self, record: Record) -> dict[str, str]:
+        """Return the labels of a request in the metrics."""
+        return {
+            "service": self.service.name,
+            "work_class": record.work_class.name.lower(),
+        }
+
     def count(self, record: Record) -> None:
         """Count an ended request in the metrics."""
         outcome = record.state.name.lower()
         if record.reason is not reasons.Reason.NONE:
             outcome += ":" + reasons.label(record.reason)
-        labels = {
-            "service": self.service.name,
-            "work_class": record.work_class.name.lower(),
-        }
+        labels = self.labels(record)
         metrics.REQUESTS.inc({**labels, "outcome": outcome})
         if record.state is RecordState.ANSWERED:
             metrics.LATENCY.observe(labels, anyio.current_time() - record.arrived_at)
@@ -867,7 +908,7 @@
             flow = peering.unsigned(entry.flow)
             self.flows[flow] = max(self.flows.get(flow, 0), entry.expires_ms)
         self.loaded.add(handover.serial)
-        if handover.host == self.awaiting_from:
+        if handover.host == self.awaited:
             self.load_rights(handover)
         for entry in handover.queued:
             decoded = wire.decode(entry.frame).value_or(None)
@@ -884,13 +925,13 @@
             self.queue.remove(mine.key)
             record.caller = mine.caller
         self.records[record.key] = record
-        if record.state is RecordState.RUNNING:
+        if record.state is RecordState.RUNNING and record.former != self.host:
             self.former_running.add(record.key)
 
     def load_rights(self, handover: typing.Any) -> None:
         """Take over the right to forward, as far as the former home had it."""
         self.former = None
-        self.awaiting_from = ""
+        self.awaiting_from = self.awaited = ""
         self.authority_at = 0.0
         if handover.former_host:
             self.former = (handover.former_host, handover.former_incarnation)
@@ -900,7 +941,7 @@
             self.authority_at = anyio.current_time() + left_s
         self.incomplete_until_ms = 0
         if not handover.records_complete:
-            limit_s = self.context.max_deadline_s + DATAGRAM_LIFETIME_S
+            limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
             self.incomplete_until_ms = now_ms() + int(limit_s * 1000)
 
     def on_completion(self, message: typing.Any) -> None:
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -70,9 +70,12 @@
         self.homes: dict[int, home.Home] = {}
         # Homes handed over whose last requests still run here.
         self.departing: dict[int, list[home.Home]] = {}
+        # Handovers that no new home has taken yet.
+        self.handing_over: set[home.Home] = set()
         self.assignment: dict[int, objects.Member] = {}
         self.tasks: anyio.abc.TaskGroup | None = None
         self.incarnation = members.me.incarnation
+        self.answer_buffer_bytes: float = math.inf
         # Replaced in tests that use no sockets.
         self.call: Call = peering.call
         self.serve_slot: ServeSlot = slots.serve
@@ -95,7 +98,13 @@
         ]
 
     def is_idle(self) -> bool:
-        """Tell whether no request runs here and no answer is left."""
+        """Tell whether no request runs here, and no answer or handover is left.
+
+        A host that announced its end before a handover was taken would let the new
+        home start without its records.
+        """
+        if self.handing_over:
+            return False
         leaving = [entry for group in self.departing.values() for entry in group]
         return all(entry.is_idle() for entry in [*self.homes.values(), *leaving])
 
@@ -140,7 +149,8 @@
     ) -> None:
         """Become the home of a target."""
         service = self.config.services[target.service]
-        entry = home.Home(target, service, self.context)
+        entry = home.Home(target, service, self.context, self.members.me.host)
+        entry.left_running = lambda: self.left_running(entry)
         self.homes[target.id] = entry
         if former is not None and former != self.members.me:
             entry.former = (former.host, former.incarnation)
@@ -155,12 +165,9 @@
         if entry.former is None:
             return
         host, incarnation = entry.former
-        if self.members.has_ended(host, incarnation):
-            entry.former = None
-            entry.takeover(0.0, "", complete=False)
-        elif (host, incarnation) in self.members.identities():
-            withheld = self.members.is_withheld(host)
-            entry.takeover(math.inf, "" if withheld else host, complete=False)
+        if self.members.may_return(host, incarnation):
+            silent = self.members.is_withheld(host)
+            entry.takeover(math.inf, "" if silent else host, complete=False)
         else:
             entry.former = None
             entry.takeover(
@@ -186,8 +193,31 @@
                     tasks.start_soon(self.serve_slot, entry, number)
                 while True:
                     await entry.expire()
+                    self.evict_answers()
                     await anyio.sleep(UPKEEP_S)
 
+    def evict_answers(self) -> None:
+        """Drop the answers that expire first while all together take too much."""
+        leaving = [entry for group in self.departing.values() for entry in group]
+        entries = [*self.homes.values(), *leaving]
+        excess = sum(e.buffered_bytes for e in entries) - self.answer_buffer_bytes
+        if excess <= 0:
+            return
+        kept = [
+            (record.keep_until_ms, number, record)
+            for number, entry in enumerate(entries)
+            for record in entry.records.values()
+            if record.answer is not None and record.answer.complete
+        ]
+        for _, number, record in sorted(kept, key=lambda found: found[:2]):
+            if excess <= 0:
+                return
+            entry = entries[number]
+            before = entry.buffered_bytes
+            entry.drop_answer(record)
+            excess -= before - entry.buffered_bytes
+            metrics.EVICTED.inc({"service": entry.service.name})
+
     def retire(self, entry: home.Home) -> None:
         """Let a home end once its last requests are answered."""
         self.departing.setdefault(entry.target.id, []).append(entry)
@@ -205,6 +235,11 @@
         if not group:
             self.departing.pop(entry.target.id, None)
 
+    def left_running(self, entry: home.Home) -> int:
+        """Return the requests of a target that run at earlier homes of this host."""
+        departing = self.departing.get(entry.target.id, [])
+        return sum(len(other.running) for other in departing if other is not entry)
+
     def hand_over(self, number: int) -> None:
         """Start to hand a target to its new home."""
         entry = self.homes.pop(number)
@@ -213,6 +248,7 @@
             self.members.me.host, self.members.me.incarnation, self.members.epoch
         )
         self.departing.setdefault(number, []).append(entry)
+        self.handing_over.add(entry)
         if self.tasks is not None:
             self.tasks.start_soon(self.send_handover, entry, handover)
 
@@ -224,6 +260,7 @@
             if member is None:
                 break
             if member == self.members.me:
+                self.handing_over.discard(entry)
                 await self.take_back(entry, handover)
                 return
             address = settings.split_address(member.peers)
@@ -235,6 +272,7 @@
                 break
             metrics.HANDOVERS.inc({"direction": "out", "outcome": "retried"})
             await anyio.sleep(HANDOVER_RETRY_S)
+        self.handing_over.discard(entry)
         await self.finish_departing(entry)
 
     async def take_back(self, entry: home.Home, handover: typing.Any) -> None:
@@ -266,7 +304,7 @@
         """Tell the new home that a request left here has ended."""
         number = entry.target.id
         member = self.assignment.get(number)
-        if member is None or member == self.members.me:
+        if member is None:
             return
         message = ttypes.Completion(
             host=self.members.me.host,
@@ -277,7 +315,9 @@
             state=int(record.state),
             reason=int(record.reason),
         )
-        if self.tasks is not None:
+        if member == self.members.me:
+            self.on_completion(message)
+        elif self.tasks is not None:
             self.tasks.start_soon(self.send_completion, number, message)
 
     async def send_completion(self, number: int, message: typing.Any) -> None:
--- a/basilgate/membership.py
+++ b/basilgate/membership.py
@@ -38,8 +38,12 @@
 DEAD_AFTER_INTERVAL_S = 1.7
 LEASE_S = 5.0
 CLOCK_SKEW_S = 0.25
-TAKEOVER_WAIT_S = LEASE_S + CLOCK_SKEW_S
-# A joiner that reaches no member for this long may remove members.
+# A copy of a datagram does not arrive later than this after its first copy.
+DATAGRAM_LIFETIME_S = 2.0
+# The former home may forward until its lease ends, and a duplicate of what it
+# forwarded last may arrive here within a datagram's lifetime.
+TAKEOVER_WAIT_S = LEASE_S + CLOCK_SKEW_S + DATAGRAM_LIFETIME_S
+# A joiner does not wait for the confirmation of a member silent for this long.
 JOIN_ALONE_S = 30.0
 JOIN_RETRY_S = 0.5
 # The last heartbeat is repeated because a datagram can be lost.
@@ -47,6 +51,8 @@
 FAREWELL_PAUSE_S = 0.02
 REMOVAL_STAGGER_S = 0.05
 MAX_REMOVAL_STAGGER_S = 0.3
+# Wait of a member that hears nobody, before it removes the others.
+ISOLATION_WAIT_S = 0.6
 MICROSECONDS = 1_000_000
 
 Send = collections.abc.Callable[
@@ -75,6 +81,9 @@
     withheld: bool = False
     # A removal was written and its outcome is not known yet.
     removal_pending: bool = False
+    # Incarnation of a later process at the same address, 0 for none. Only one
+    # process can have the address, so the member itself has ended.
+    successor: int = 0
     loads: list[typing.Any] = dataclasses.field(default_factory=list)
     scope: anyio.CancelScope = dataclasses.field(default_factory=anyio.CancelScope)
 
@@ -126,16 +135,27 @@
         self.rng = random.Random(me.incarnation)
         self.view: objects.View | None = None
         self.peers: dict[str, Peer] = {}
+        # Members that announced that they stopped, by host and incarnation.
         self.ended: set[tuple[str, int]] = set()
-        # Proofs of end that are kept after the view changed, by host.
-        self.ended_incarnations: dict[str, int] = {}
         self.carried_lease = 0.0
         self.joined_epoch = 0
         self.full = False
-        self.alone_at = anyio.current_time() + JOIN_ALONE_S
         self.leaving = False
+        # Newest sending time in a heartbeat.
+        self.sent_us = 0
         self.stopped = False
         self.loads: collections.abc.Callable[[], list[typing.Any]] = list
+        # Called with the address of a host that has a newer view.
+        self.on_behind: collections.abc.Callable[[tuple[str, int]], None] = lambda _: (
+            None
+        )
+        # Hosts heard since this process started or was removed, and until when
+        # silence of the members keeps it from joining.
+        self.heard: set[str] = set()
+        self.join_alone_at = anyio.current_time() + JOIN_ALONE_S
+        # A host that joined before it had the configuration would not know whose
+        # targets it takes over, and would run their requests without the records.
+        self.may_join: collections.abc.Callable[[], bool] = lambda: True
         self.on_change: collections.abc.Callable[[], None] = lambda: None
         self.tasks: anyio.abc.TaskGroup | None = None
         store.subscribe(self.on_object)
@@ -163,6 +183,19 @@
 
     def members(self) -> dict[str, objects.Member]:
         """Return the members of the view that have not ended, by host."""
+        return {
+            name: member
+            for name, member in self.lenders().items()
+            if name not in self.peers or not self.peers[name].successor
+        }
+
+    def lenders(self) -> dict[str, objects.Member]:
+        """Return the members whose echo a lease needs, this one included.
+
+        The echo of a restarted member comes from its successor: without it, a
+        member that others have removed could keep its lease. A member that
+        announced its end removes nobody any more.
+        """
         if self.view is None:
             return {}
         return {
@@ -197,18 +230,16 @@
         peer = self.peers.get(host)
         return peer is not None and peer.leaving
 
-    def has_ended(self, host: str, incarnation: int) -> bool:
-        """Tell whether there is proof that a member runs no more work."""
-        return (
-            host,
-            incarnation,
-        ) in self.ended or self.ended_incarnations.get(host, 0) >= incarnation
+    def may_return(self, host: str, incarnation: int) -> bool:
+        """Tell whether a member may still run work or hand it over."""
+        member = self.members().get(host)
+        return member is not None and member.incarnation == incarnation
 
     def lease_until(self) -> float:
         """Return the monotonic time until which non-idempotent work may start."""
         if not self.is_member():
             return self.carried_lease
-        others = [name for name in self.members() if name != self.me.host]
+        others = [name for name in self.lenders() if name != self.me.host]
         if not others:
             return anyio.current_time() + LEASE_S
         granted = min(
@@ -253,19 +284,16 @@
             # so the host comes back as a new one.
             self.carried_lease = 0.0
             self.full = False
+            self.heard.clear()
+            self.join_alone_at = anyio.current_time() + JOIN_ALONE_S
             self.me = self.me.model_copy(update={"incarnation": new_incarnation()})
         current = self.identities()
-        for host, incarnation in self.ended:
-            self.note_ended(host, incarnation)
         self.ended &= current
         for name, peer in list(self.peers.items()):
             if (name, peer.member.incarnation) not in current:
                 peer.scope.cancel()
                 del self.peers[name]
             peer.removal_pending = False
-        for member in view.members:
-            # Only one process can have the address: an earlier one has ended.
-            self.note_ended(member.host, member.incarnation - 1)
         now = anyio.current_time()
         pause = interval_s(len(view.members))
         for member in view.members:
@@ -352,8 +380,9 @@
                 if member not in former.members
             ],
         )
-        datagram = self.codec.encode("view_changed", message)
         for peer in list(self.peers.values()):
+            context = peering.context_of(peer.address)
+            datagram = self.codec.encode("view_changed", message, context)
             await self.send(datagram, peer.address)
 
     # Tasks.
@@ -365,7 +394,7 @@
             for peer in self.peers.values():
                 tasks.start_soon(self.attend, peer)
             while True:
-                if not self.is_member() and not self.leaving:
+                if not self.is_member() and not self.leaving and self.may_join():
                     await self.join()
                 self.check_full()
                 # Jitter keeps hosts that join together from colliding again.
@@ -382,17 +411,21 @@
         ]
         if self.view is not None and self.me in self.view.members:
             return
-        await self.write_view([*others, self.me], "join")
+        # A host that the members cannot hear would end their leases by joining.
+        silent = {member.host for member in others} - self.heard
+        if not silent or anyio.current_time() >= self.join_alone_at:
+            await self.write_view([*others, self.me], "join")
 
     def check_full(self) -> None:
         """Become a full member once all others have confirmed the join."""
         if self.full or not self.is_member():
             return
-        others = [peer for name, peer in self.peers.items() if name in self.members()]
-        confirmed = all(peer.heard_epoch >= self.joined_epoch for peer in others)
-        if any(peer.heard_epoch > 0 for peer in others):
-            self.alone_at = anyio.current_time() + JOIN_ALONE_S
-        if confirmed or anyio.current_time() >= self.alone_at:
+        now = anyio.current_time()
+        others = [peer for name, peer in self.peers.items() if name in self.lenders()]
+        if all(
+            peer.heard_epoch >= self.joined_epoch or now >= peer.dead_at + JOIN_ALONE_S
+            for peer in others
+        ):
             self.full = True
             logs.event(LOGGER.info, "member_full", epoch=self.epoch)
 
@@ -417,11 +450,14 @@
         """Send one heartbeat; the echo is withheld from a peer held for dead."""
         known = peer.member in (self.view.members if self.view is not None else ())
         echo = peer.newest_sent_us if known and not peer.withheld else 0
+        # Each heartbeat is newer than the one before, or it would count as a copy.
+        now_us = int(anyio.current_time() * MICROSECONDS)
+        self.sent_us = max(self.sent_us + 1, now_us)
         message = ttypes.Heartbeat(
             host=self.me.host,
             incarnation=self.me.incarnation,
             epoch=self.epoch,
-            sent_us=int(anyio.current_time() * MICROSECONDS),
+            sent_us=self.sent_us,
             echo_us=echo,
             config_revision=self.store.revision,
             config_digest=self.store.digest,
@@ -429,12 +465,47 @@
             loads=self.loads(),
             ended=[ttypes.EndedMember(host, inc) for host, inc in sorted(self.ended)],
         )
-        await self.send(self.codec.encode("heartbeat", message), peer.address)
+        context = peering.context_of(peer.address)
+        datagram = self.codec.encode("heartbeat", message, context)
+        await self.send(datagram, peer.address)
+
+    async def answer_stranger(self, address: tuple[str, int]) -> None:
+        """Send a heartbeat that confirms nothing to a host outside the view."""
+        self.sent_us = max(self.sent_us + 1, int(anyio.current_time() * MICROSECONDS))
+        message = ttypes.Heartbeat(
+            host=self.me.host,
+            incarnation=self.me.incarnation,
+            epoch=self.epoch,
+            sent_us=self.sent_us,
+            echo_us=0,
+            config_revision=self.store.revision,
+            config_digest=self.store.digest,
+            leaving=self.leaving,
+        )
+        context = peering.context_of(address)
+        await self.send(self.codec.encode("heartbeat", message, context), address)
+
+    def seems_isolated(self) -> bool:
+        """Tell whether all of several peers fell silent at about the same time.
+
+        The fault is more likely on this host's side. If it is, the other members
+        hear each other and remove this host meanwhile.
+        """
+        now = anyio.current_time()
+        return len(self.peers) >= 2 and all(
+            now >= peer.suspect_at for peer in self.peers.values()
+        )
 
     async def remove(self, peer: Peer) -> None:
         """Write a view without a dead peer."""
         if not self.full or not self.is_member() or self.leaving:
             return
+        if self.seems_isolated():
+            await anyio.sleep(ISOLATION_WAIT_S)
+            if not await self.refresh_view() or not self.is_member():
+                return
+            if anyio.current_time() < peer.dead_at:
+                return
         if not peer.withheld:
             peer.withheld = True
             logs.event(LOGGER.warning, "peer_dead", peer=peer.member.host)
@@ -476,26 +547,34 @@
         self, message: typing.Any, address: tuple[str, int]
     ) -> reasons.Reason | None:
         """Take in a heartbeat; return a reason if it is refused."""
+        if message.epoch > self.epoch:
+            self.on_behind(address)
         peer = self.peers.get(message.host)
         if peer is None:
+            if self.is_member() and self.tasks is not None:
+                # A joiner needs to know that the members hear it.
+                self.tasks.start_soon(self.answer_stranger, address)
             return reasons.Reason.UNKNOWN_PEER
-        if message.incarnation < peer.member.incarnation:
+        if message.incarnation < max(peer.member.incarnation, peer.successor):
             return reasons.Reason.STALE_INCARNATION
-        if message.incarnation > peer.member.incarnation:
-            if address == peer.address:
-                # Only one process can have the address: the former one has ended.
-                self.mark_ended(peer.member.host, peer.member.incarnation)
-            return reasons.Reason.UNKNOWN_PEER
+        if message.incarnation > max(peer.member.incarnation, peer.successor):
+            if address != peer.address:
+                return reasons.Reason.UNKNOWN_PEER
+            self.on_successor(peer, message.incarnation)
         now = anyio.current_time()
-        if message.echo_us > now * MICROSECONDS:
+        if message.echo_us > self.sent_us:
             return reasons.Reason.MALFORMED
+        if message.sent_us <= peer.newest_sent_us:
+            # A copy proves nothing about the present and must not delay removal.
+            return reasons.Reason.DUPLICATE
         pause = interval_s(len(self.peers) + 1)
         if peer.withheld and not peer.removal_pending:
             peer.withheld = False
             self.on_change()
         peer.suspect_at = now + pause + SUSPECT_AFTER_INTERVAL_S
         peer.dead_at = now + pause + DEAD_AFTER_INTERVAL_S
-        peer.newest_sent_us = max(peer.newest_sent_us, message.sent_us)
+        peer.newest_sent_us = message.sent_us
+        self.heard.add(message.host)
         if message.epoch > peer.heard_epoch and self.tasks is not None:
             # An answer at once spares a new epoch the wait for the next interval.
             self.tasks.start_soon(self.send_heartbeat, peer)
@@ -513,21 +592,27 @@
             self.mark_ended(entry.host, entry.incarnation)
         return None
 
+    def on_successor(self, peer: Peer, incarnation: int) -> None:
+        """Note that a member was restarted and is not in the view again yet."""
+        peer.successor = incarnation
+        peer.newest_sent_us = 0
+        logs.event(
+            LOGGER.info,
+            "member_restarted",
+            peer=peer.member.host,
+            incarnation=incarnation,
+        )
+        self.on_change()
+
     def mark_ended(self, host: str, incarnation: int) -> None:
-        """Record the proof that a member of the view runs no more work."""
+        """Record that a member of the view has announced its end."""
         key = (host, incarnation)
         if key in self.ended or key not in self.identities():
             return
         self.ended.add(key)
-        self.note_ended(host, incarnation)
         logs.event(LOGGER.info, "member_ended", peer=host, incarnation=incarnation)
         self.on_change()
 
-    def note_ended(self, host: str, incarnation: int) -> None:
-        """Remember a proof of end beyond the view that it concerns."""
-        known = self.ended_incarnations.get(host, 0)
-        self.ended_incarnations[host] = max(known, incarnation)
-
     def on_view_changed(self, message: typing.Any) -> None:
         """Adopt a view of which a peer pushed the difference."""
         held = self.store.stored.get(self.view_name)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,6 +1,7 @@
 """Steps for membership, leases, and changes of home."""
 
 import contextlib
+import dataclasses
 
 import anyio
 import behave
@@ -64,6 +65,14 @@
     )
 
 
+async def deliver_late(network, rng, target, frame):
+    """Deliver a duplicate at the end of a datagram's lifetime or before."""
+    await anyio.sleep(rng.uniform(0, membership.DATAGRAM_LIFETIME_S))
+    nodes = list(network.nodes.values())
+    if nodes:
+        await rng.choice(nodes).request(target, frame)
+
+
 async def send_until_outcome(network, rng, target, flow, idempotent, deadline_s=20.0):
     """Send a request as the caller library does, to random nodes."""
     frame = request_frame(flow, idempotent, deadline_s=deadline_s)
@@ -72,10 +81,12 @@
     while clock.unix_ms() < frame.deadline_ms:
         frame.attempt = min(attempt, 255)
         attempt += 1
-        for _ in range(1 + (rng.random() < 0.3)):
-            nodes = list(network.nodes.values())
-            if nodes:
-                await rng.choice(nodes).request(target, frame)
+        nodes = list(network.nodes.values())
+        if nodes:
+            await rng.choice(nodes).request(target, dataclasses.replace(frame))
+        if rng.random() < 0.3:
+            copy = dataclasses.replace(frame)
+            network.tasks.start_soon(deliver_late, network, rng, target, copy)
         await anyio.sleep(0.25)
         for outcome in network.outcomes.get(frame.key, []):
             if outcome.kind in kinds:
@@ -188,6 +199,33 @@
     assert context.former_ended < context.next_began
 
 
+@behave.when("one member is cut off from the others for 25 s")
+def isolate_member(context):
+    """Cut a member off from the others, while all of them reach the platform."""
+
+    async def main():
+        async with domain(context.members) as network:
+            isolated, *others = network.nodes.values()
+            before = [node.members.me.incarnation for node in others]
+            for node in others:
+                network.cut(isolated, node)
+            await anyio.sleep(25)
+            after = [node.members.me.incarnation for node in others]
+            context.stayed = before == after
+            context.leases = [
+                node.members.lease_until() > anyio.current_time() for node in others
+            ]
+
+    record(context, main)
+
+
+@behave.then("the others stay members, and hold their leases again")
+def check_stayed(context):
+    """Check incarnations and leases."""
+    assert context.stayed
+    assert context.leases == [True, True], context.leases
+
+
 @behave.when("the home of target 1 is paused for 20 s")
 def pause_home(context):
     """Pause a home past its lease."""
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -1,5 +1,6 @@
 """Steps for the load policies, on a rig with a virtual clock."""
 
+import math
 import random
 
 import anyio
@@ -593,8 +594,8 @@
         old = rig.homes[rig.target_of(1)]
         frame = another_copy(context, rig)
         handover = old.export("a-0", 1, 1)
-        heir = home.Home(old.target, old.service, old.context)
-        heir.awaiting_from = "a-0"
+        heir = home.Home(old.target, old.service, old.context, "a-1")
+        heir.takeover(math.inf, "a-0", complete=True)
         await heir.load(handover)
         await heir.on_frame(frame, ("127.0.0.1", 1))
         record = heir.records[context.key]
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -122,6 +122,7 @@
         self.store = replica.Replica()
         self.scope = anyio.CancelScope()
         self.paused = False
+        self.first_view: objects.StoredObject | None = None
         me = objects.Member(
             host=name,
             incarnation=network.next_incarnation(),
@@ -151,18 +152,28 @@
         self.homes.call = self.call
         self.homes.serve_slot = self.serve_slot
         self.members.on_change = self.on_change
+        self.members.on_behind = self.on_behind
         self.members.loads = self.homes.loads
 
     def on_change(self) -> None:
         """Follow a change of the view."""
         self.homes.reassign(self.network.config)
 
+    def on_behind(self, address: tuple[str, int]) -> None:
+        """Take a newer view from a peer."""
+        peer = self.network.reachable(self, address)
+        stored = peer.store.stored.get(self.members.view_name) if peer else None
+        if stored is not None:
+            self.store.apply(stored)
+
     async def run(self) -> None:
         """Run until the node is killed."""
         with self.scope:
             async with anyio.create_task_group() as tasks:
                 self.homes.tasks = tasks
                 self.homes.reassign(self.network.config)
+                if self.first_view is not None:
+                    self.store.apply(self.first_view)
                 await self.members.run()
 
     async def send(self, datagram: bytes, address: tuple[str, int]) -> None:
@@ -218,7 +229,10 @@
             while self.paused:
                 await anyio.sleep(0.01)
             if await target.run(frame):
-                record.answer = home.Answer([b"answer"], 1, 6, 6)
+                answer = wire.Frame(
+                    wire.Kind.ANSWER, 1, record.flow, record.request, body=b"answer"
+                )
+                await entry.on_piece(record, answer)
                 await entry.finish(record, home.RecordState.ANSWERED)
             else:
                 record.forwarded = False
@@ -226,7 +240,8 @@
 
     def receive(self, datagram: bytes, sender: tuple[str, int]) -> None:
         """Handle a control message."""
-        field, message = self.network.codec.decode(datagram).unwrap()
+        context = peering.context_of(self.address)
+        field, message = self.network.codec.decode(datagram, context).unwrap()
         if field == "heartbeat":
             self.members.on_heartbeat(message, sender)
         elif field == "view_changed":
@@ -323,7 +338,7 @@
         assert self.tasks is not None
         for node in nodes:
             self.nodes[node.address] = node
-            node.store.apply(written.unwrap())
+            node.first_view = written.unwrap()
             self.tasks.start_soon(node.run)
 
     def kill(self, node: Node) -> None:
