--- a/lab/bench.py
+++ b/lab/bench.py
@@ -6,7 +6,7 @@
 
 
 def run(seed: int = 1, seconds: float = 25.0) -> None:
-    """Run the benchmarks and print their tables.
+    """Run the benchmarks and print each row once it is measured.
 
     Parameters
     ----------
@@ -15,7 +15,9 @@
     seconds : float
         Virtual time of one load.
     """
-    print(policybench.table(policybench.measure(seed, seconds)))
+    print(policybench.HEADER)
+    for row in policybench.measure(seed, seconds):
+        print(policybench.line(row), flush=True)
 
 
 if __name__ == "__main__":
--- a/lab/policybench.py
+++ b/lab/policybench.py
@@ -576,31 +576,26 @@
     return rows
 
 
-def table(rows: collections.abc.Iterable[Row]) -> str:
-    """Return the rows as a Markdown table."""
-    lines = [
-        "| experiment | measure | variant | figure | goal | met |",
-        "|---|---|---|---|---|---|",
-    ]
-    marks = {None: "", True: "yes", False: "no"}
-    lines += [
-        f"| {r.experiment} | {r.measure} | {r.variant} | {r.value} | {r.goal} "
-        f"| {marks[r.met]} |"
-        for r in rows
-    ]
-    return "\n".join(lines)
+HEADER = """\
+| experiment | measure | variant | figure | goal | met |
+|---|---|---|---|---|---|"""
+MARKS = {None: "", True: "yes", False: "no"}
+
 
+def line(row: Row) -> str:
+    """Return a row of the Markdown table."""
+    cells = (row.experiment, row.measure, row.variant, row.value, row.goal)
+    return f"| {' | '.join(cells)} | {MARKS[row.met]} |"
 
-def measure(seed: int, seconds: float = 25.0) -> list[Row]:
+
+def measure(seed: int, seconds: float) -> collections.abc.Iterator[Row]:
     """Run all experiments; `seconds` of virtual time for each load."""
-    return [
-        *measure_stragglers(seed, 2 * seconds),
-        *measure_goodput(seed, seconds),
-        *measure_imbalance(seed, seconds),
-        *measure_herding(seed),
-        *measure_crest(seed),
-        *measure_fairness(seed),
-        *measure_spill(seed, seconds),
-        *measure_retries(seed),
-        *measure_cost(seed, seconds),
-    ]
+    yield from measure_stragglers(seed, 2 * seconds)
+    yield from measure_goodput(seed, seconds)
+    yield from measure_imbalance(seed, seconds)
+    yield from measure_herding(seed)
+    yield from measure_crest(seed)
+    yield from measure_fairness(seed)
+    yield from measure_spill(seed, seconds)
+    yield from measure_retries(seed)
+    yield from measure_cost(seed, seconds)
