Show the evidence on a target's health in explain

Cause: explain said only that a target is unhealthy according to its home. Change: the home adds condition, outcomes, probes, and ejections.

--- a/basilgate/explaining.py
+++ b/basilgate/explaining.py
@@ -5,6 +5,8 @@
 import datetime
 import typing
 
+import anyio
+
 from basilgate import effective, home, homes, membership, objects, replica
 
 
@@ -160,10 +162,17 @@
         "expired": [o.id for o in overrides if has_expired(o, now)],
         "draining": target.leaving,
         "load": dataclasses.asdict(load) if load is not None else None,
+        "health": health_of(observer, target.id),
         "conflicts": conflicts_of(target, load),
     }
 
 
+def health_of(observer: Observer, target: int) -> dict[str, typing.Any] | None:
+    """Return the evidence on a target's health, None if its home is elsewhere."""
+    entry = observer.own.get(target)
+    return entry.monitor.explain(anyio.current_time()) if entry is not None else None
+
+
 def has_expired(override: objects.Override, now: datetime.datetime) -> bool:
     """Tell whether an override has reached its end."""
     return override.expires_at is not None and override.expires_at <= now
