Do not take a straggler for a frozen target

Change: all slots must be busy or a probe must fail, no request answered for 2 s, and work of unknown length gets 10 s.

--- a/basilgate/probing.py
+++ b/basilgate/probing.py
@@ -6,7 +6,7 @@
 import httpx
 import logbook
 
-from basilgate import home, logs, metrics
+from basilgate import home, logs, metrics, wire
 
 LOGGER = logbook.Logger("health")
 
@@ -16,24 +16,41 @@
 PROBE_TIMEOUT_S = 0.8
 # The load endpoint lags by seconds anyway; it is read less often.
 LOAD_EVERY = 4
-# A target is frozen if all its busy slots have had no answer for this long, and
-# for FROZEN_RATIO times the usual time of the work that they hold.
+# A target is frozen if nothing that it runs was answered for this long, and for
+# FROZEN_RATIO times the usual time of that work.
 FROZEN_S = 2.0
 FROZEN_RATIO = 10.0
+# Usual time of work of which none has ended yet; a first straggler takes some
+# seconds and does not make its target look frozen.
+UNKNOWN_SERVICE_S = 1.0
 
 
 def is_frozen(entry: home.Home, now: float) -> bool:
-    """Tell whether no busy slot of a target has got an answer for too long."""
+    """Tell whether a target leaves all that it runs unanswered for too long.
+
+    Free slots show nothing, unless probes fail as well.
+    """
     running = list(entry.running.values())
-    if not running:
+    if now - entry.monitor.last_good_at < FROZEN_S:
+        return False
+    if len(running) < entry.target.slots and not entry.monitor.probe_failures:
         return False
 
     def overdue(record: home.Record) -> bool:
-        usual_s = entry.admission.service_s(record.work_class)
+        usual_s = usual_time_s(entry, record.work_class)
         silent_s = now - max(record.started_at, record.progress_at)
         return silent_s > max(FROZEN_S, FROZEN_RATIO * usual_s)
 
-    return all(overdue(record) for record in running)
+    return bool(running) and all(overdue(record) for record in running)
+
+
+def usual_time_s(entry: home.Home, work_class: wire.WorkClass) -> float:
+    """Return the usual time of a class in seconds, here or else at the service."""
+    own_s = entry.admission.service_s(work_class)
+    quickest_s = entry.learner.quickest.value
+    if own_s or work_class is wire.WorkClass.LONG or not quickest_s:
+        return own_s or UNKNOWN_SERVICE_S
+    return quickest_s
 
 
 def refresh(entry: home.Home) -> None:
--- a/features/policy.feature
+++ b/features/policy.feature
@@ -82,6 +82,12 @@
     When one target freezes while its flows send idempotent requests
     Then at most its slots' 3 requests are lost, and the target is ejected as frozen
 
+  Scenario: A straggler does not make its target look frozen
+    Guards against a target that is ejected for long work of unknown length.
+    Given a policy rig with 2 targets at 1 hosts
+    When one target runs a single straggler of 4 s, and later two beside short work
+    Then the target was never ejected
+
   Scenario: Shedding targets are backed off
     Guards against a loop of requests between targets that shed them.
     Given a policy rig with 3 targets at 3 hosts
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -448,6 +448,35 @@
     assert context.condition["condition"] == "frozen", context.condition
 
 
+@behave.when(
+    "one target runs a single straggler of 4 s, and later two beside short work"
+)
+def lone_straggler(context):
+    """Run undeclared stragglers, alone and beside short work."""
+
+    async def scenario(rig):
+        rig.open(1)
+        rig.request(1, 4.0, 30.0, False, tag="long")
+        await settle(rig)
+        await warm_up(rig, 1)
+        for _ in range(2):
+            rig.request(1, 4.0, 30.0, False, tag="long")
+        for _ in range(100):
+            rig.request(1, WORK_S, 1.0, False)
+            await anyio.sleep(2 * WORK_S)
+        await settle(rig)
+        context.ejections = rig.homes[rig.target_of(1)].monitor.ejections
+
+    run(context, scenario)
+
+
+@behave.then("the target was never ejected")
+def check_not_ejected(context):
+    """Check ejections and outcomes."""
+    assert context.ejections == 0
+    assert set(context.rig.reasons()) == {"answer"}, context.rig.reasons()
+
+
 # Retries.
 
 
