--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -32,6 +32,9 @@
 UNPROMPTED_PIECES = 32
 MAX_PULLED_PIECES = 64
 ANSWER_KEPT_S = 15.0
+# Longer than the lease: by then the former home has adopted the view or lost the
+# right to forward, so only its records can be missing.
+HANDOVER_LIMIT_S = 10.0
 LEASE_POLL_S = 0.1
 IDLE_POLL_S = 5.0
 # Work should start this many times its usual length before its deadline, because
@@ -243,6 +246,10 @@
         self.awaiting_from = ""
         # Host whose handover gives the right, also when it comes after its end.
         self.awaited = ""
+        # Monotonic time at which the handover is given up.
+        self.await_until = math.inf
+        # Epoch of the view in which this home started.
+        self.started_epoch = 0
         # Host and incarnation of the former home while its right may still hold.
         self.former: tuple[str, int] | None = None
         # Serials of the handovers that were taken.
@@ -291,6 +298,8 @@
             self.suspend_queue()
         self.authority_at = authority_at
         self.awaiting_from = former
+        if former and former != self.awaited:
+            self.await_until = anyio.current_time() + HANDOVER_LIMIT_S
         self.awaited = former or self.awaited
         if not complete:
             limit_s = self.context.max_deadline_s + membership.DATAGRAM_LIFETIME_S
@@ -912,7 +921,10 @@
             flow = peering.unsigned(entry.flow)
             self.flows[flow] = max(self.flows.get(flow, 0), entry.expires_ms)
         self.loaded.add(handover.serial)
-        if handover.host == self.awaited:
+        # A host that skipped views may have been home until the view in which this
+        # home started; a repeated handover of an earlier home has an older epoch.
+        current = handover.epoch >= self.started_epoch and self.awaiting_from
+        if handover.host == self.awaited or current:
             self.load_rights(handover)
         for entry in handover.queued:
             decoded = wire.decode(entry.frame).value_or(None)
@@ -939,6 +951,8 @@
         self.authority_at = 0.0
         if handover.former_host:
             self.former = (handover.former_host, handover.former_incarnation)
+            self.awaiting_from = self.awaited = handover.former_host
+            self.await_until = anyio.current_time() + HANDOVER_LIMIT_S
             self.authority_at = math.inf
         elif handover.authority_ms:
             left_s = (handover.authority_ms - now_ms()) / 1000
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -151,6 +151,7 @@
         service = self.config.services[target.service]
         entry = home.Home(target, service, self.context, self.members.me.host)
         entry.left_running = lambda: self.left_running(entry)
+        entry.started_epoch = self.members.epoch
         self.homes[target.id] = entry
         if former is not None and former != self.members.me:
             entry.former = (former.host, former.incarnation)
@@ -192,6 +193,7 @@
                 for number in range(entry.target.slots):
                     tasks.start_soon(self.serve_slot, entry, number)
                 while True:
+                    self.check_handover(entry)
                     await entry.expire()
                     self.evict_answers()
                     await anyio.sleep(UPKEEP_S)
@@ -218,6 +220,18 @@
             excess -= before - entry.buffered_bytes
             metrics.EVICTED.inc({"service": entry.service.name})
 
+    def check_handover(self, entry: home.Home) -> None:
+        """Go on without a handover that does not come.
+
+        The host that was home under an earlier view may have skipped it, and never
+        have been the home.
+        """
+        if entry.awaiting_from and anyio.current_time() >= entry.await_until:
+            entry.log("handover_missed", former=entry.awaiting_from)
+            metrics.HANDOVERS.inc({"direction": "in", "outcome": "missed"})
+            entry.former = None
+            entry.takeover(anyio.current_time(), "", complete=False)
+
     def retire(self, entry: home.Home) -> None:
         """Let a home end once its last requests are answered."""
         self.departing.setdefault(entry.target.id, []).append(entry)
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -63,6 +63,16 @@
     Then each request is answered once
     And the next home has authority within 1 s
 
+  Scenario Outline: Hosts that start at once all come to serve
+    Given no host runs
+    When <hosts> hosts start within 1 s
+    Then each target has one home, and it has authority
+
+    Examples:
+      | hosts |
+      | 8     |
+      | 24    |
+
   Scenario: A removal whose answer was lost takes effect once
     Given a domain of 3 members
     When one member is killed and the answer to its removal is lost
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -384,6 +384,44 @@
     assert context.heir
 
 
+@behave.given("no host runs")
+def no_host(context):
+    """Start from nothing."""
+
+
+@behave.when("{hosts:d} hosts start within 1 s")
+def start_at_once(context, hosts):
+    """Start all hosts of a domain and wait until they have settled."""
+
+    async def main():
+        network = memory.MemoryNetwork(1, targets=40)
+        async with anyio.create_task_group() as tasks:
+            network.tasks = tasks
+            for number in range(1, hosts + 1):
+                network.start(f"h{number}", number)
+                await anyio.sleep(network.rng.uniform(0, 2.0 / hosts))
+            await settle(network)
+            await anyio.sleep(SETTLE_S)
+            context.homes = {
+                number: [
+                    node.homes.homes[number].has_authority()
+                    and not node.homes.homes[number].awaiting_from
+                    for node in network.nodes.values()
+                    if number in node.homes.homes
+                ]
+                for number in network.targets
+            }
+            tasks.cancel_scope.cancel()
+
+    record(context, main)
+
+
+@behave.then("each target has one home, and it has authority")
+def check_homes(context):
+    """Check that no home waits for a handover that nobody owes."""
+    assert all(found == [True] for found in context.homes.values()), context.homes
+
+
 @behave.when("one member is killed and the answer to its removal is lost")
 def lose_removal_answer(context):
     """Lose the answer of the write that removes a member."""
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -1,5 +1,6 @@
 """Steps for the load policies, on a rig with a virtual clock."""
 
+import math
 import random
 
 import anyio
@@ -447,6 +448,35 @@
     assert context.condition["condition"] == "frozen", context.condition
 
 
+@behave.when(
+    "one target runs a single straggler of 4 s, and later two beside short work"
+)
+def lone_straggler(context):
+    """Run undeclared stragglers, alone and beside short work."""
+
+    async def scenario(rig):
+        rig.open(1)
+        rig.request(1, 4.0, 30.0, False, tag="long")
+        await settle(rig)
+        await warm_up(rig, 1)
+        for _ in range(2):
+            rig.request(1, 4.0, 30.0, False, tag="long")
+        for _ in range(100):
+            rig.request(1, WORK_S, 1.0, False)
+            await anyio.sleep(2 * WORK_S)
+        await settle(rig)
+        context.ejections = rig.homes[rig.target_of(1)].monitor.ejections
+
+    run(context, scenario)
+
+
+@behave.then("the target was never ejected")
+def check_not_ejected(context):
+    """Check ejections and outcomes."""
+    assert context.ejections == 0
+    assert set(context.rig.reasons()) == {"answer"}, context.rig.reasons()
+
+
 # Retries.
 
 
@@ -593,8 +623,8 @@
         old = rig.homes[rig.target_of(1)]
         frame = another_copy(context, rig)
         handover = old.export("a-0", 1, 1)
-        heir = home.Home(old.target, old.service, old.context, "heir")
-        heir.awaiting_from = "a-0"
+        heir = home.Home(old.target, old.service, old.context, "a-1")
+        heir.takeover(math.inf, "a-0", complete=True)
         await heir.load(handover)
         await heir.on_frame(frame, ("127.0.0.1", 1))
         record = heir.records[context.key]
