Split records and handovers from the home

Change: records.py has what a home knows about a request, handovers.py the change of hands, home.py the queue, slots, answers, and cancellation (798 lines). No change of behaviour.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -39,6 +39,7 @@
     probing,
     queueing,
     reasons,
+    records,
     registry,
     rendezvous,
     replica,
@@ -559,7 +560,7 @@
             if len(entry.queue):
                 await self.spiller.rebalance(entry)
 
-    async def report(self, entry: home.Home, record: home.Record) -> None:
+    async def report(self, entry: home.Home, record: records.Record) -> None:
         """Tell a target's new home about the end of a request."""
         await self.homes.report(entry, record)
 
--- /dev/null
+++ b/basilgate/handovers.py
@@ -0,0 +1,135 @@
+"""Handover of a target from one home to the next."""
+
+import math
+import time
+import typing
+
+import anyio
+
+from basilgate import clock, home, peering, reasons, records, wire
+from peerproto import ttypes
+
+
+def export(owner: home.Home, incarnation: int, epoch: int) -> typing.Any:
+    """Return everything that the next home needs, and stop forwarding."""
+    queued = []
+    for waiting in list(owner.queue.waiting()):
+        record = owner.records.get(waiting.key)
+        owner.queue.remove(waiting.key)
+        if record is not None and record.frame is not None:
+            frame = wire.encode(record.frame)
+            queued.append(ttypes.QueuedRequest(*record.caller, frame))
+            del owner.records[waiting.key]
+    authority_ms = 0
+    if anyio.current_time() < owner.authority_at < math.inf:
+        left_s = owner.authority_at - anyio.current_time()
+        authority_ms = clock.unix_ms() + int(left_s * 1000)
+    former_host, former_incarnation = owner.former or ("", 0)
+    return ttypes.Handover(
+        host=owner.host,
+        incarnation=incarnation,
+        epoch=epoch,
+        target=owner.target.id,
+        records=[
+            records.export_record(record, owner.host)
+            for record in owner.records.values()
+        ],
+        queued=queued,
+        flows=[
+            ttypes.FlowEntry(peering.signed(flow), expires)
+            for flow, expires in owner.flows.items()
+        ],
+        authority_ms=authority_ms,
+        incomplete_until_ms=owner.incomplete_until_ms,
+        serial=time.time_ns(),
+        former_host=former_host,
+        former_incarnation=former_incarnation,
+    )
+
+
+async def load(owner: home.Home, handover: typing.Any) -> None:
+    """Continue from a former home's handover.
+
+    A handover from another host than the awaited one adds records only: its
+    sender was home at an earlier time, and its answer was lost.
+    """
+    for part in handover.records:
+        load_record(owner, records.import_record(part))
+    for entry in handover.flows:
+        flow = peering.unsigned(entry.flow)
+        owner.flows[flow] = max(owner.flows.get(flow, 0), entry.expires_ms)
+    owner.loaded.add(handover.serial)
+    # A host that skipped views may have been home until the view in which this
+    # home started; a repeated handover of an earlier home has an older epoch.
+    current = handover.epoch >= owner.started_epoch and owner.awaiting_from
+    if handover.host == owner.awaited or current:
+        load_rights(owner, handover)
+    for entry in handover.queued:
+        decoded = wire.decode(entry.frame).value_or(None)
+        if decoded is not None and decoded.key not in owner.records:
+            await owner.on_request(decoded, (entry.caller_host, entry.caller_port))
+    owner.work_added.set()
+
+
+def load_record(owner: home.Home, record: records.Record) -> None:
+    """Take over one record, unless this home knows more about the request."""
+    mine = owner.records.get(record.key)
+    if mine is not None:
+        if mine.state not in (records.RecordState.QUEUED, records.RecordState.WAITING):
+            return
+        owner.queue.remove(mine.key)
+        record.caller = mine.caller
+    owner.records[record.key] = record
+    if record.state is records.RecordState.RUNNING and record.former != owner.host:
+        owner.former_running.add(record.key)
+
+
+def load_rights(owner: home.Home, handover: typing.Any) -> None:
+    """Take over the right to forward, as far as the former home had it."""
+    owner.former = None
+    owner.awaiting_from = owner.awaited = ""
+    owner.authority_at = 0.0
+    if handover.former_host:
+        owner.former = (handover.former_host, handover.former_incarnation)
+        owner.awaiting_from = owner.awaited = handover.former_host
+        owner.await_until = anyio.current_time() + home.HANDOVER_LIMIT_S
+        owner.authority_at = math.inf
+    elif handover.authority_ms:
+        left_s = (handover.authority_ms - clock.unix_ms()) / 1000
+        owner.authority_at = anyio.current_time() + left_s
+    owner.incomplete_until_ms = handover.incomplete_until_ms
+
+
+def on_completion(owner: home.Home, message: typing.Any) -> None:
+    """Take in the end of a request that a former home was still running."""
+    flow = peering.unsigned(message.flow)
+    record = owner.records.get((flow, peering.unsigned32(message.request)))
+    if record is None or record.former != message.host:
+        return
+    if record.state is records.RecordState.RUNNING:
+        owner.former_running.discard(record.key)
+        record.state = records.RecordState(message.state)
+        record.reason = reasons.from_code(message.reason)
+    owner.work_added.set()
+
+
+def former_lost(owner: home.Home, host: str) -> None:
+    """Free the slots of requests whose former home has died."""
+    for record in owner.records.values():
+        if record.former == host:
+            owner.former_running.discard(record.key)
+            if records.elsewhere(record.state):
+                record.state = records.RecordState.UNKNOWN
+                record.reason = reasons.Reason.HOME_CHANGED
+            record.former = ""
+    owner.work_added.set()
+
+
+async def resume(owner: home.Home, handover: typing.Any) -> None:
+    """Go on as the home after a handover that nobody took."""
+    owner.handed_over_to = ""
+    for entry in handover.queued:
+        decoded = wire.decode(entry.frame).value_or(None)
+        if decoded is not None:
+            await owner.on_request(decoded, (entry.caller_host, entry.caller_port))
+    owner.work_added.set()
--- a/basilgate/home.py
+++ b/basilgate/home.py
@@ -2,9 +2,7 @@
 
 import collections.abc
 import dataclasses
-import enum
 import math
-import time
 import typing
 
 import anyio
@@ -20,12 +18,11 @@
     logs,
     membership,
     metrics,
-    peering,
     queueing,
     reasons,
+    records,
     wire,
 )
-from peerproto import ttypes
 
 LOGGER = logbook.Logger("home")
 
@@ -42,97 +39,13 @@
 START_MARGIN = 2.0
 
 
-class RecordState(enum.IntEnum):
-    """What the home knows about a request."""
-
-    # Arrived while the home may not forward yet; its outcome cannot be known.
-    WAITING = 1
-    QUEUED = 2
-    RUNNING = 3
-    ANSWERED = 4
-    REFUSED = 5
-    UNKNOWN = 6
-    # Idempotent and given to another target, whose home tells the outcome.
-    PASSED = 7
-
-
-ENDED_STATES = (
-    RecordState.ANSWERED,
-    RecordState.REFUSED,
-    RecordState.UNKNOWN,
-    RecordState.PASSED,
-)
-
-
-@dataclasses.dataclass(slots=True)
-class Answer:
-    """Pieces of an answer, kept until the caller has acknowledged it."""
-
-    pieces: list[bytes] = dataclasses.field(default_factory=list)
-    expected: int = 0
-    total_bytes: int = 0
-    size: int = 0
-
-    @property
-    def complete(self) -> bool:
-        """Whether all pieces have come from the target."""
-        return self.expected > 0 and len(self.pieces) == self.expected
-
-
-@dataclasses.dataclass(slots=True)
-class Record:
-    """One request at its home.
-
-    `arrived_at` and `started_at` are on the monotonic clock in seconds;
-    `deadline_ms` and `keep_until_ms` are Unix time in milliseconds. `former` is
-    the host that still runs the request after a planned handover.
-    """
-
-    flow: int
-    request: int
-    idempotent: bool
-    deadline_ms: int
-    state: RecordState
-    caller: wire.Address
-    arrived_at: float
-    first_attempt: int = 0
-    reason: reasons.Reason = reasons.Reason.NONE
-    work_class: wire.WorkClass = wire.WorkClass.UNDECLARED
-    keep_until_ms: int = 0
-    started_at: float = 0.0
-    # A copy was sent to a target that did not say that it left it unstarted.
-    forwarded: bool = False
-    forwards: int = 0
-    # Tells the caller apart the answers of two runs; Unix milliseconds.
-    run_ms: int = 0
-    # Flags that tell how the request was passed on before it came here, and the
-    # one that it was passed on with from here.
-    pass_flags: int = 0
-    passed_flag: int = 0
-    # Token of the caller's frame, returned with the answer, and the one of the
-    # target that the request was passed on to.
-    token: bytes = wire.EMPTY_TOKEN
-    passed_token: bytes = wire.EMPTY_TOKEN
-    body_bytes: int = 0
-    progress_at: float = 0.0
-    cancel: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    frame: wire.Frame | None = None
-    answer: Answer | None = None
-    former: str = ""
-
-    @property
-    def key(self) -> queueing.Key:
-        """Flow and request id."""
-        return (self.flow, self.request)
-
-
-async def keep(entry: "Home", record: Record) -> bool:
+async def keep(entry: "Home", record: records.Record) -> bool:
     """Move no request."""
     del entry, record
     return False
 
 
-async def ignore(record: Record, frame: wire.Frame) -> None:
+async def ignore(record: records.Record, frame: wire.Frame) -> None:
     """Send nothing after a request that was passed on."""
     del record, frame
 
@@ -173,9 +86,11 @@
     ]
     lease_until: collections.abc.Callable[[], float]
     retry: collections.abc.Callable[
-        ["Home", Record], collections.abc.Awaitable[reasons.Reason]
+        ["Home", records.Record], collections.abc.Awaitable[reasons.Reason]
+    ]
+    report: collections.abc.Callable[
+        ["Home", records.Record], collections.abc.Awaitable[None]
     ]
-    report: collections.abc.Callable[["Home", Record], collections.abc.Awaitable[None]]
     make_queue: collections.abc.Callable[[int], queueing.Queue]
     max_deadline_s: float
     max_answer_bytes: int
@@ -185,10 +100,10 @@
     )
     learners: classes.Learners = dataclasses.field(default_factory=classes.Learners)
     move: collections.abc.Callable[
-        ["Home", Record], collections.abc.Awaitable[bool]
+        ["Home", records.Record], collections.abc.Awaitable[bool]
     ] = keep
     repeat: collections.abc.Callable[
-        [Record, wire.Frame], collections.abc.Awaitable[None]
+        [records.Record, wire.Frame], collections.abc.Awaitable[None]
     ] = ignore
     note_request: collections.abc.Callable[[int], None] = lambda _: None
     share_by_flow: bool = False
@@ -225,7 +140,7 @@
         self.host = host
         self.service = service
         self.context = context
-        self.records: dict[queueing.Key, Record] = {}
+        self.records: dict[queueing.Key, records.Record] = {}
         self.queue = context.make_queue(service.queue_limit)
         self.admission = context.make_admission()
         self.learner = context.learners.get(service.id)
@@ -233,7 +148,7 @@
         self.monitor = health.Monitor()
         # Expiry of each flow in Unix milliseconds.
         self.flows: dict[int, int] = {}
-        self.running: dict[queueing.Key, Record] = {}
+        self.running: dict[queueing.Key, records.Record] = {}
         # Requests left at a former home that still use a slot there.
         self.former_running: set[queueing.Key] = set()
         # Number of requests that run at earlier homes of the target in this process.
@@ -271,7 +186,7 @@
             return False
         return now < self.context.lease_until()
 
-    def may_refuse(self, record: Record) -> bool:
+    def may_refuse(self, record: records.Record) -> bool:
         """Tell whether "not run" would be true for a request.
 
         Without the lease, or before the takeover wait has ended, another home may
@@ -315,7 +230,7 @@
             record = self.records.get(waiting.key)
             if record is not None and not record.idempotent:
                 self.queue.remove(waiting.key)
-                record.state = RecordState.WAITING
+                record.state = records.RecordState.WAITING
 
     # Frames from callers.
 
@@ -351,7 +266,7 @@
     ) -> reasons.Reason:
         """Admit a request, or repeat what is known about it."""
         known = self.records.get(frame.key)
-        if known is not None and known.state is RecordState.PASSED:
+        if known is not None and known.state is records.RecordState.PASSED:
             # A higher count means that the other home passed it back.
             if wire.passes(frame.flags) <= wire.passes(known.pass_flags):
                 known.caller = caller
@@ -365,12 +280,12 @@
         if frame.deadline_ms <= now:
             # A reply could be untrue: an earlier copy may have run.
             return reasons.Reason.DEADLINE_PASSED
-        record = Record(
+        record = records.Record(
             flow=frame.flow,
             request=frame.request,
             idempotent=frame.idempotent,
             deadline_ms=frame.deadline_ms,
-            state=RecordState.QUEUED,
+            state=records.RecordState.QUEUED,
             caller=caller,
             arrived_at=anyio.current_time(),
             first_attempt=frame.attempt,
@@ -396,20 +311,22 @@
             self.context.note_request(self.service.id)
         return found
 
-    async def admit(self, record: Record, now: int) -> None:
+    async def admit(self, record: records.Record, now: int) -> None:
         """Queue a request that has just arrived, or end it."""
         if record.deadline_ms > now + self.context.max_deadline_s * 1000:
             record.keep_until_ms = now + int(self.context.max_deadline_s * 1000)
             await self.refuse(record, reasons.Reason.DEADLINE_TOO_FAR)
         elif self.known_to_former_only(record):
-            await self.finish(record, RecordState.UNKNOWN, reasons.Reason.HOME_CHANGED)
+            await self.finish(
+                record, records.RecordState.UNKNOWN, reasons.Reason.HOME_CHANGED
+            )
         elif self.waits_for_takeover(record):
-            record.state = RecordState.WAITING
+            record.state = records.RecordState.WAITING
             await self.reply(record, wire.Kind.PENDING)
         else:
             await self.enqueue(record)
 
-    def known_to_former_only(self, record: Record) -> bool:
+    def known_to_former_only(self, record: records.Record) -> bool:
         """Tell whether a former home may have run this request."""
         return (
             not record.idempotent
@@ -418,7 +335,7 @@
             and not self.awaiting_from
         )
 
-    def waits_for_takeover(self, record: Record) -> bool:
+    def waits_for_takeover(self, record: records.Record) -> bool:
         """Tell whether a dead former home's right may not have lapsed yet."""
         return (
             not record.idempotent
@@ -426,7 +343,7 @@
             and anyio.current_time() < self.authority_at
         )
 
-    async def enqueue(self, record: Record) -> None:
+    async def enqueue(self, record: records.Record) -> None:
         """Put a request in the queue, move it elsewhere, or refuse it."""
         if record.idempotent and await self.context.move(self, record):
             return
@@ -458,7 +375,7 @@
             return False
         return self.connected_slots == 0 or self.slots_in_use() >= self.target.slots
 
-    def allowance_ms(self, record: Record) -> int:
+    def allowance_ms(self, record: records.Record) -> int:
         """Return the time before its deadline at which a request should start.
 
         Work of unknown length should start at once.
@@ -482,24 +399,24 @@
         if self.queue.remove(waiting.key) and record is not None:
             await self.refuse(record, reasons.Reason.CALLER_SHARE)
 
-    async def follow(self, record: Record, frame: wire.Frame) -> None:
+    async def follow(self, record: records.Record, frame: wire.Frame) -> None:
         """Send a frame after a request that was passed on, if it is known where."""
         if record.passed_token == wire.EMPTY_TOKEN:
             await self.reply(record, wire.Kind.PENDING)
         else:
             await self.context.repeat(record, frame)
 
-    async def repeat(self, record: Record) -> None:
+    async def repeat(self, record: records.Record) -> None:
         """Tell a caller that sent a request again what is known about it."""
-        if record.state is RecordState.ANSWERED:
+        if record.state is records.RecordState.ANSWERED:
             if record.answer is None:
                 record.reason = reasons.Reason.ANSWER_EVICTED
                 await self.reply(record, wire.Kind.UNKNOWN)
             else:
                 await self.send_pieces(record, range(UNPROMPTED_PIECES))
-        elif record.state is RecordState.REFUSED:
+        elif record.state is records.RecordState.REFUSED:
             await self.reply(record, wire.Kind.REFUSED)
-        elif record.state is RecordState.UNKNOWN:
+        elif record.state is records.RecordState.UNKNOWN:
             await self.reply(record, wire.Kind.UNKNOWN)
         else:
             await self.reply(record, wire.Kind.PENDING)
@@ -522,7 +439,7 @@
     def on_ack(self, frame: wire.Frame) -> reasons.Reason:
         """Drop an answer that its caller has received in full."""
         record = self.records.get(frame.key)
-        if record is not None and record.state is RecordState.ANSWERED:
+        if record is not None and record.state is records.RecordState.ANSWERED:
             self.drop_answer(record)
         return reasons.Reason.NONE
 
@@ -534,11 +451,13 @@
         if record is None:
             return reasons.Reason.MALFORMED
         record.caller = caller
-        if record.state is RecordState.PASSED:
+        if record.state is records.RecordState.PASSED:
             await self.follow(record, frame)
-        elif record.state is RecordState.QUEUED and self.queue.remove(record.key):
+        elif record.state is records.RecordState.QUEUED and self.queue.remove(
+            record.key
+        ):
             await self.refuse(record, reasons.Reason.CANCELLED)
-        elif record.state is RecordState.RUNNING:
+        elif record.state is records.RecordState.RUNNING:
             record.cancel.set()
         else:
             await self.repeat(record)
@@ -546,10 +465,10 @@
 
     # Work.
 
-    async def next_work(self) -> Record:
+    async def next_work(self) -> records.Record:
         """Wait for a request that may be forwarded now."""
         while True:
-            expired: list[Record] = []
+            expired: list[records.Record] = []
             chosen = self.take(expired)
             with anyio.CancelScope(shield=True):
                 for record in expired:
@@ -568,7 +487,7 @@
             with anyio.move_on_after(LEASE_POLL_S if len(self.queue) else IDLE_POLL_S):
                 await self.work_added.wait()
 
-    def take(self, expired: list[Record]) -> Record | None:
+    def take(self, expired: list[records.Record]) -> records.Record | None:
         """Remove a request from the queue and mark it as running.
 
         Requests that cannot end before their deadline are moved to `expired`.
@@ -588,7 +507,7 @@
             if waiting is None:
                 break
             record = self.records.get(waiting.key)
-            if record is None or record.state is not RecordState.QUEUED:
+            if record is None or record.state is not records.RecordState.QUEUED:
                 continue
             now = now_ms()
             # An idle target tries every request, which corrects its estimates.
@@ -603,7 +522,7 @@
         for waiting in passed_over:
             self.queue.push(waiting)
         if chosen is not None:
-            chosen.state = RecordState.RUNNING
+            chosen.state = records.RecordState.RUNNING
             chosen.started_at = anyio.current_time()
             self.running[chosen.key] = chosen
             self.occupancy.change(chosen.work_class, 1)
@@ -611,7 +530,7 @@
             metrics.QUEUE_TIME.observe(self.labels(chosen), waited_s)
         return chosen
 
-    def release(self, record: Record) -> bool:
+    def release(self, record: records.Record) -> bool:
         """Free the slot of a request; False if it held none."""
         if self.running.pop(record.key, None) is None:
             return False
@@ -620,7 +539,7 @@
         return True
 
     def settle(
-        self, record: Record, state: RecordState, reason: reasons.Reason
+        self, record: records.Record, state: records.RecordState, reason: reasons.Reason
     ) -> None:
         """Free the slot of a request and learn from its outcome."""
         if not self.release(record):
@@ -629,7 +548,7 @@
         seconds = now - record.started_at
         if reason is reasons.Reason.SHED_BY_TARGET:
             self.monitor.on_shed(now)
-        elif state is RecordState.ANSWERED:
+        elif state is records.RecordState.ANSWERED:
             self.admission.observe(record.work_class, seconds)
             self.learner.observe(record.body_bytes, seconds)
             self.monitor.on_outcome(good=True, now=now)
@@ -641,11 +560,11 @@
                 self.admission.observe(record.work_class, seconds)
             self.monitor.on_outcome(good=False, now=now)
 
-    def mark_passed(self, record: Record, token: bytes, flag: int) -> None:
+    def mark_passed(self, record: records.Record, token: bytes, flag: int) -> None:
         """Note that a request was given to the target that a token names."""
         # What this home could not truly call "not run", the next one cannot either.
         record.forwarded = not self.may_refuse(record)
-        record.state = RecordState.PASSED
+        record.state = records.RecordState.PASSED
         record.passed_token = token
         record.passed_flag = flag
         record.frame = None
@@ -670,14 +589,14 @@
             for record in self.running.values()
         )
 
-    def start_by_ms(self, record: Record) -> int:
+    def start_by_ms(self, record: records.Record) -> int:
         """Return the Unix time in ms after which the target must not start."""
         if record.idempotent:
             return record.deadline_ms
         left_s = self.context.lease_until() - anyio.current_time()
         return min(record.deadline_ms, now_ms() + int(left_s * 1000))
 
-    def forwarding(self, record: Record) -> wire.Frame:
+    def forwarding(self, record: records.Record) -> wire.Frame:
         """Return the frame to send to the target, checking the right to do so."""
         assert record.frame is not None
         errors.invariant(
@@ -714,9 +633,9 @@
             record.frame, deadline_ms=self.start_by_ms(record), token=wire.EMPTY_TOKEN
         )
 
-    def check_piece(self, record: Record, frame: wire.Frame) -> reasons.Reason:
+    def check_piece(self, record: records.Record, frame: wire.Frame) -> reasons.Reason:
         """Return why an answer piece of the target cannot be taken, NONE if it can."""
-        answer = record.answer or Answer(expected=max(frame.pieces, 1))
+        answer = record.answer or records.Answer(expected=max(frame.pieces, 1))
         if answer.size + len(frame.body) > self.context.max_answer_bytes:
             return reasons.Reason.ANSWER_TOO_LARGE
         in_order = frame.piece == len(answer.pieces) < answer.expected
@@ -724,10 +643,10 @@
             return reasons.Reason.MALFORMED
         return reasons.Reason.NONE
 
-    async def on_piece(self, record: Record, frame: wire.Frame) -> bool:
+    async def on_piece(self, record: records.Record, frame: wire.Frame) -> bool:
         """Take one answer piece from the target; True after the last one."""
         if record.answer is None:
-            record.answer = Answer(
+            record.answer = records.Answer(
                 expected=max(frame.pieces, 1), total_bytes=frame.total_bytes
             )
         record.progress_at = anyio.current_time()
@@ -740,7 +659,7 @@
         return answer.complete
 
     async def send_pieces(
-        self, record: Record, wanted: collections.abc.Iterable[int]
+        self, record: records.Record, wanted: collections.abc.Iterable[int]
     ) -> None:
         """Send the wanted pieces that have come from the target."""
         answer = record.answer
@@ -759,16 +678,16 @@
 
     # Outcomes.
 
-    async def refuse(self, record: Record, reason: reasons.Reason) -> None:
+    async def refuse(self, record: records.Record, reason: reasons.Reason) -> None:
         """End a request as not run, or as unknown where that could be untrue."""
         truthful = self.may_refuse(record)
-        state = RecordState.REFUSED if truthful else RecordState.UNKNOWN
+        state = records.RecordState.REFUSED if truthful else records.RecordState.UNKNOWN
         await self.finish(record, state, reason)
 
     async def finish(
         self,
-        record: Record,
-        state: RecordState,
+        record: records.Record,
+        state: records.RecordState,
         reason: reasons.Reason = reasons.Reason.NONE,
     ) -> None:
         """End a request and tell its caller."""
@@ -777,7 +696,7 @@
         record.frame = None
         self.settle(record, state, reason)
         self.count(record)
-        if state is RecordState.REFUSED:
+        if state is records.RecordState.REFUSED:
             errors.invariant(
                 "refused_not_forwarded",
                 not record.forwarded,
@@ -785,7 +704,7 @@
                 request=record.request,
             )
             await self.reply(record, wire.Kind.REFUSED)
-        elif state is RecordState.UNKNOWN:
+        elif state is records.RecordState.UNKNOWN:
             self.drop_answer(record)
             await self.reply(record, wire.Kind.UNKNOWN)
         else:
@@ -795,24 +714,24 @@
         if self.handed_over_to:
             await self.context.report(self, record)
 
-    def labels(self, record: Record) -> dict[str, str]:
+    def labels(self, record: records.Record) -> dict[str, str]:
         """Return the labels of a request in the metrics."""
         return {
             "service": self.service.name,
             "work_class": record.work_class.name.lower(),
         }
 
-    def count(self, record: Record) -> None:
+    def count(self, record: records.Record) -> None:
         """Count an ended request in the metrics."""
         outcome = record.state.name.lower()
         if record.reason is not reasons.Reason.NONE:
             outcome += ":" + reasons.label(record.reason)
         labels = self.labels(record)
         metrics.REQUESTS.inc({**labels, "outcome": outcome})
-        if record.state is RecordState.ANSWERED:
+        if record.state is records.RecordState.ANSWERED:
             metrics.LATENCY.observe(labels, anyio.current_time() - record.arrived_at)
 
-    def make_frame(self, record: Record, kind: wire.Kind) -> wire.Frame:
+    def make_frame(self, record: records.Record, kind: wire.Kind) -> wire.Frame:
         """Return a frame to the caller of a request."""
         return wire.Frame(
             kind=kind,
@@ -823,11 +742,11 @@
             work_class=record.work_class,
         )
 
-    async def reply(self, record: Record, kind: wire.Kind) -> None:
+    async def reply(self, record: records.Record, kind: wire.Kind) -> None:
         """Send the state of a request to its caller."""
         await self.context.send(self.make_frame(record, kind), record.caller)
 
-    def drop_answer(self, record: Record) -> None:
+    def drop_answer(self, record: records.Record) -> None:
         """Free the buffered pieces of an answer."""
         if record.answer is not None:
             self.buffered_bytes -= record.answer.size
@@ -855,11 +774,11 @@
                     await self.refuse(record, reasons.Reason.TARGET_UNHEALTHY)
         settled = self.waiting_ended()
         for record in list(self.records.values()):
-            if record.state is RecordState.WAITING and settled:
+            if record.state is records.RecordState.WAITING and settled:
                 await self.finish(
-                    record, RecordState.UNKNOWN, reasons.Reason.HOME_CHANGED
+                    record, records.RecordState.UNKNOWN, reasons.Reason.HOME_CHANGED
                 )
-            elif record.state in ENDED_STATES and record.keep_until_ms <= now:
+            elif record.state in records.ENDED_STATES and record.keep_until_ms <= now:
                 self.drop_answer(record)
                 del self.records[record.key]
         for flow in [flow for flow, expires in self.flows.items() if expires <= now]:
@@ -874,159 +793,6 @@
         answers = any(record.answer is not None for record in self.records.values())
         return not self.running and not answers
 
-    # Handover.
-
-    def export(self, me: str, incarnation: int, epoch: int) -> typing.Any:
-        """Return everything that the next home needs, and stop forwarding."""
-        queued = []
-        for waiting in list(self.queue.waiting()):
-            record = self.records.get(waiting.key)
-            self.queue.remove(waiting.key)
-            if record is not None and record.frame is not None:
-                frame = wire.encode(record.frame)
-                queued.append(ttypes.QueuedRequest(*record.caller, frame))
-                del self.records[waiting.key]
-        authority_ms = 0
-        if anyio.current_time() < self.authority_at < math.inf:
-            left_s = self.authority_at - anyio.current_time()
-            authority_ms = now_ms() + int(left_s * 1000)
-        former_host, former_incarnation = self.former or ("", 0)
-        return ttypes.Handover(
-            host=me,
-            incarnation=incarnation,
-            epoch=epoch,
-            target=self.target.id,
-            records=[export_record(record, me) for record in self.records.values()],
-            queued=queued,
-            flows=[
-                ttypes.FlowEntry(peering.signed(flow), expires)
-                for flow, expires in self.flows.items()
-            ],
-            authority_ms=authority_ms,
-            incomplete_until_ms=self.incomplete_until_ms,
-            serial=time.time_ns(),
-            former_host=former_host,
-            former_incarnation=former_incarnation,
-        )
-
-    async def load(self, handover: typing.Any) -> None:
-        """Continue from a former home's handover.
-
-        A handover from another host than the awaited one adds records only: its
-        sender was home at an earlier time, and its answer was lost.
-        """
-        for part in handover.records:
-            self.load_record(import_record(part))
-        for entry in handover.flows:
-            flow = peering.unsigned(entry.flow)
-            self.flows[flow] = max(self.flows.get(flow, 0), entry.expires_ms)
-        self.loaded.add(handover.serial)
-        # A host that skipped views may have been home until the view in which this
-        # home started; a repeated handover of an earlier home has an older epoch.
-        current = handover.epoch >= self.started_epoch and self.awaiting_from
-        if handover.host == self.awaited or current:
-            self.load_rights(handover)
-        for entry in handover.queued:
-            decoded = wire.decode(entry.frame).value_or(None)
-            if decoded is not None and decoded.key not in self.records:
-                await self.on_request(decoded, (entry.caller_host, entry.caller_port))
-        self.work_added.set()
-
-    def load_record(self, record: Record) -> None:
-        """Take over one record, unless this home knows more about the request."""
-        mine = self.records.get(record.key)
-        if mine is not None:
-            if mine.state not in (RecordState.QUEUED, RecordState.WAITING):
-                return
-            self.queue.remove(mine.key)
-            record.caller = mine.caller
-        self.records[record.key] = record
-        if record.state is RecordState.RUNNING and record.former != self.host:
-            self.former_running.add(record.key)
-
-    def load_rights(self, handover: typing.Any) -> None:
-        """Take over the right to forward, as far as the former home had it."""
-        self.former = None
-        self.awaiting_from = self.awaited = ""
-        self.authority_at = 0.0
-        if handover.former_host:
-            self.former = (handover.former_host, handover.former_incarnation)
-            self.awaiting_from = self.awaited = handover.former_host
-            self.await_until = anyio.current_time() + HANDOVER_LIMIT_S
-            self.authority_at = math.inf
-        elif handover.authority_ms:
-            left_s = (handover.authority_ms - now_ms()) / 1000
-            self.authority_at = anyio.current_time() + left_s
-        self.incomplete_until_ms = handover.incomplete_until_ms
-
-    def on_completion(self, message: typing.Any) -> None:
-        """Take in the end of a request that a former home was still running."""
-        flow = peering.unsigned(message.flow)
-        record = self.records.get((flow, peering.unsigned32(message.request)))
-        if record is None or record.former != message.host:
-            return
-        if record.state is RecordState.RUNNING:
-            self.former_running.discard(record.key)
-            record.state = RecordState(message.state)
-            record.reason = reasons.from_code(message.reason)
-        self.work_added.set()
-
-    def former_lost(self, host: str) -> None:
-        """Free the slots of requests whose former home has died."""
-        for record in self.records.values():
-            if record.former == host:
-                self.former_running.discard(record.key)
-                if elsewhere(record.state):
-                    record.state = RecordState.UNKNOWN
-                    record.reason = reasons.Reason.HOME_CHANGED
-                record.former = ""
-        self.work_added.set()
-
-    async def resume(self, handover: typing.Any) -> None:
-        """Go on as the home after a handover that nobody took."""
-        self.handed_over_to = ""
-        for entry in handover.queued:
-            decoded = wire.decode(entry.frame).value_or(None)
-            if decoded is not None:
-                await self.on_request(decoded, (entry.caller_host, entry.caller_port))
-        self.work_added.set()
-
     def log(self, name: str, **fields: typing.Any) -> None:
         """Log an event about this target."""
         logs.event(LOGGER.info, name, target=self.target.name, **fields)
-
-
-def elsewhere(state: RecordState) -> bool:
-    """Tell whether a request in this state stays at its former home."""
-    return state in (RecordState.RUNNING, RecordState.ANSWERED, RecordState.PASSED)
-
-
-def export_record(record: Record, me: str) -> typing.Any:
-    """Return a record as a message part."""
-    return ttypes.RequestRecord(
-        flow=peering.signed(record.flow),
-        request=peering.signed32(record.request),
-        state=int(record.state),
-        reason=int(record.reason),
-        idempotent=record.idempotent,
-        keep_until_ms=record.keep_until_ms,
-        former=record.former or (me if elsewhere(record.state) else ""),
-    )
-
-
-def import_record(part: typing.Any) -> Record:
-    """Return the record in a message part of a former home."""
-    state = RecordState(part.state)
-    return Record(
-        flow=peering.unsigned(part.flow),
-        request=peering.unsigned32(part.request),
-        idempotent=part.idempotent,
-        deadline_ms=part.keep_until_ms,
-        state=state,
-        caller=("0.0.0.0", 0),
-        arrived_at=anyio.current_time(),
-        reason=reasons.from_code(part.reason),
-        keep_until_ms=part.keep_until_ms,
-        former=part.former,
-        forwarded=elsewhere(state),
-    )
--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -11,6 +11,7 @@
 
 from basilgate import (
     effective,
+    handovers,
     home,
     logs,
     membership,
@@ -18,6 +19,7 @@
     objects,
     peering,
     reasons,
+    records,
     settings,
     slots,
     wire,
@@ -183,7 +185,7 @@
         for entry in self.homes.values():
             hosts = {record.former for record in entry.records.values()}
             for host in hosts - present - {""}:
-                entry.former_lost(host)
+                handovers.former_lost(entry, host)
 
     async def run_home(self, entry: home.Home) -> None:
         """Run the slots and the upkeep of one home until it is retired."""
@@ -258,8 +260,8 @@
         """Start to hand a target to its new home."""
         entry = self.homes.pop(number)
         entry.handed_over_to = self.assignment[number].host
-        handover = entry.export(
-            self.members.me.host, self.members.me.incarnation, self.members.epoch
+        handover = handovers.export(
+            entry, self.members.me.incarnation, self.members.epoch
         )
         self.departing.setdefault(number, []).append(entry)
         self.handing_over.add(entry)
@@ -299,7 +301,7 @@
         if replaced is not None:
             self.retire(replaced)
         self.homes[number] = entry
-        await entry.resume(handover)
+        await handovers.resume(entry, handover)
 
     async def on_handover(self, message: typing.Any) -> reasons.Reason:
         """Take over a target from its former home; a reason refuses it."""
@@ -309,12 +311,12 @@
         if entry is None:
             return reasons.Reason.NO_HOME
         if message.serial not in entry.loaded:
-            await entry.load(message)
+            await handovers.load(entry, message)
             entry.log("handover_taken", former=message.host)
             metrics.HANDOVERS.inc({"direction": "in", "outcome": "accepted"})
         return reasons.Reason.NONE
 
-    async def report(self, entry: home.Home, record: home.Record) -> None:
+    async def report(self, entry: home.Home, record: records.Record) -> None:
         """Tell the new home that a request left here has ended."""
         number = entry.target.id
         member = self.assignment.get(number)
@@ -351,7 +353,7 @@
         entry = self.homes.get(message.target)
         if entry is None or entry.awaiting_from:
             return reasons.Reason.NO_HOME
-        entry.on_completion(message)
+        handovers.on_completion(entry, message)
         return reasons.Reason.NONE
 
     # Frames.
--- a/basilgate/probing.py
+++ b/basilgate/probing.py
@@ -6,7 +6,7 @@
 import httpx
 import logbook
 
-from basilgate import home, logs, metrics, wire
+from basilgate import home, logs, metrics, records, wire
 
 LOGGER = logbook.Logger("health")
 
@@ -36,7 +36,7 @@
     if len(running) < entry.target.slots and not entry.monitor.probe_failures:
         return False
 
-    def overdue(record: home.Record) -> bool:
+    def overdue(record: records.Record) -> bool:
         usual_s = usual_time_s(entry, record.work_class)
         silent_s = now - max(record.started_at, record.progress_at)
         return silent_s > max(FROZEN_S, FROZEN_RATIO * usual_s)
--- a/basilgate/retries.py
+++ b/basilgate/retries.py
@@ -3,7 +3,7 @@
 import collections.abc
 import dataclasses
 
-from basilgate import home, metrics, placement, reasons, wire
+from basilgate import home, metrics, placement, reasons, records, wire
 
 # Retries per request, over any longer run of requests.
 RETRY_SHARE = 0.1
@@ -60,7 +60,7 @@
     async def send(
         self,
         entry: home.Home,
-        record: home.Record,
+        record: records.Record,
         chosen: placement.Candidate,
         flag: int,
     ) -> None:
@@ -73,7 +73,7 @@
         entry.mark_passed(record, self.mint(chosen, record.flow), flag)
         await self.repeat(record, frame)
 
-    async def repeat(self, record: home.Record, frame: wire.Frame) -> None:
+    async def repeat(self, record: records.Record, frame: wire.Frame) -> None:
         """Send a frame about a request that was passed on after it."""
         flags = frame.flags
         attempt = frame.attempt
@@ -121,7 +121,7 @@
         """Note a request that is not a retry."""
         self.budget(service).deposit()
 
-    async def retry(self, entry: home.Home, record: home.Record) -> reasons.Reason:
+    async def retry(self, entry: home.Home, record: records.Record) -> reasons.Reason:
         """Pass a failed request on; a reason other than NONE says why not."""
         if not record.idempotent or record.frame is None or record.cancel.is_set():
             return reasons.Reason.CANCELLED
--- a/basilgate/slots.py
+++ b/basilgate/slots.py
@@ -9,7 +9,7 @@
 import logbook
 from returns import result
 
-from basilgate import home, logs, reasons, wire
+from basilgate import home, logs, reasons, records, wire
 
 LOGGER = logbook.Logger("slots")
 
@@ -109,13 +109,13 @@
     return True
 
 
-async def run_request(slot: Slot, record: home.Record) -> bool:
+async def run_request(slot: Slot, record: records.Record) -> bool:
     """Forward one request and take its outcome; False ends the connection."""
     owner = slot.owner
     if not record.idempotent and not owner.has_authority():
         # The lease ran out between the choice and now; nothing was sent.
         owner.release(record)
-        record.state = home.RecordState.QUEUED
+        record.state = records.RecordState.QUEUED
         await owner.enqueue(record)
         return True
     if not await send(slot, owner.forwarding(record)):
@@ -128,7 +128,7 @@
     return alive
 
 
-async def cancel_when_due(slot: Slot, record: home.Record) -> None:
+async def cancel_when_due(slot: Slot, record: records.Record) -> None:
     """Cancel a request when its caller asks for it or its deadline passes."""
     left_s = record.deadline_ms / 1000 - home.now_ms() / 1000
     with anyio.move_on_after(left_s):
@@ -139,7 +139,7 @@
     await slot.stream.aclose()
 
 
-async def take_outcome(slot: Slot, record: home.Record) -> bool:
+async def take_outcome(slot: Slot, record: records.Record) -> bool:
     """Take frames of the target up to the outcome; False if none came."""
     owner = slot.owner
     while True:
@@ -154,13 +154,13 @@
         if frame.kind is wire.Kind.ANSWER:
             refused = owner.check_piece(record, frame)
             if refused is reasons.Reason.ANSWER_TOO_LARGE:
-                await owner.finish(record, home.RecordState.UNKNOWN, refused)
+                await owner.finish(record, records.RecordState.UNKNOWN, refused)
                 return False
             if refused is not reasons.Reason.NONE:
                 await connection_lost(owner, record)
                 return False
             if await owner.on_piece(record, frame):
-                await owner.finish(record, home.RecordState.ANSWERED)
+                await owner.finish(record, records.RecordState.ANSWERED)
                 return True
         elif frame.kind is wire.Kind.SHED:
             record.forwarded = record.forwards > 1
@@ -174,13 +174,13 @@
             return False
 
 
-async def cancelled(owner: home.Home, record: home.Record, started: bool) -> None:
+async def cancelled(owner: home.Home, record: records.Record, started: bool) -> None:
     """End a request that the target cancelled, for its caller or at its deadline."""
     asked = record.cancel.is_set()
     if started:
         after_start = reasons.Reason.CANCELLED_AFTER_START
         reason = after_start if asked else reasons.Reason.DEADLINE_PASSED
-        await owner.finish(record, home.RecordState.UNKNOWN, reason)
+        await owner.finish(record, records.RecordState.UNKNOWN, reason)
     else:
         record.forwarded = record.forwards > 1
         reason = reasons.Reason.CANCELLED if asked else reasons.Reason.DEADLINE_PASSED
@@ -188,13 +188,13 @@
 
 
 async def not_started(
-    owner: home.Home, record: home.Record, reason: reasons.Reason
+    owner: home.Home, record: records.Record, reason: reasons.Reason
 ) -> None:
     """End or retry a request that the target left unstarted."""
     shown = (
         reason if reason is not reasons.Reason.NONE else reasons.Reason.SHED_BY_TARGET
     )
-    owner.settle(record, home.RecordState.REFUSED, shown)
+    owner.settle(record, records.RecordState.REFUSED, shown)
     if record.idempotent:
         refused = await owner.context.retry(owner, record)
         if refused is reasons.Reason.NONE:
@@ -204,14 +204,14 @@
     await owner.refuse(record, shown)
 
 
-async def connection_lost(owner: home.Home, record: home.Record) -> None:
+async def connection_lost(owner: home.Home, record: records.Record) -> None:
     """End or retry a request whose connection ended."""
     lost = reasons.Reason.TARGET_CONNECTION_LOST
-    owner.settle(record, home.RecordState.UNKNOWN, lost)
+    owner.settle(record, records.RecordState.UNKNOWN, lost)
     if record.idempotent and record.answer is None:
         refused = await owner.context.retry(owner, record)
         if refused is reasons.Reason.NONE:
             return
         if refused is reasons.Reason.RETRY_BUDGET:
             lost = refused
-    await owner.finish(record, home.RecordState.UNKNOWN, lost)
+    await owner.finish(record, records.RecordState.UNKNOWN, lost)
--- a/basilgate/spill.py
+++ b/basilgate/spill.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from basilgate import home, metrics, placement, registry, retries, wire
+from basilgate import home, metrics, placement, records, registry, retries, wire
 from peerproto import ttypes
 
 # With 8 failure domains a host sends and receives 28 pings a second. The loads of
@@ -255,7 +255,7 @@
         """Forget what was moved to a target that has just reported."""
         self.sent.pop(target, None)
 
-    async def move(self, entry: home.Home, record: home.Record) -> bool:
+    async def move(self, entry: home.Home, record: records.Record) -> bool:
         """Move a request that has not been forwarded; False keeps it."""
         if not record.idempotent or record.frame is None or record.pass_flags:
             return False
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -5,7 +5,7 @@
 import anyio
 import behave
 
-from basilgate import client, home, wire
+from basilgate import client, handovers, home, records, wire
 from standins import memory, virtualtime
 
 
@@ -57,9 +57,9 @@
         entry.incomplete_until_ms = context.until_ms
         for host in ("h2", "h3"):
             heir = home.Home(entry.target, service, node.homes.context, host)
-            handover = entry.export(entry.host, 1, 1)
+            handover = handovers.export(entry, 1, 1)
             heir.takeover(0.0, entry.host, complete=False)
-            await heir.load(handover)
+            await handovers.load(heir, handover)
             entry = heir
         context.last = entry
 
@@ -105,17 +105,18 @@
         other.former = None
         other.authority_at = 0.0
         other.incomplete_until_ms = 0
-        record = home.Record(
+        record = records.Record(
             flow=7,
             request=1,
             idempotent=False,
             deadline_ms=0,
-            state=home.RecordState.REFUSED,
+            state=records.RecordState.REFUSED,
             caller=("127.0.0.1", 9),
             arrived_at=0.0,
         )
         other.records[record.key] = record
-        await context.waiting.load(other.export("h3", 3, epoch))
+        other.host = "h3"
+        await handovers.load(context.waiting, handovers.export(other, 3, epoch))
 
     virtualtime.run(main)
     assert (7, 1) in context.waiting.records
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -25,6 +25,7 @@
     peering,
     platformapi,
     reasons,
+    records,
     settings,
     slots,
     tls,
@@ -320,12 +321,12 @@
 def running_record(entry, number):
     """Return a record of a request that its target is running."""
     deadline_ms = home.now_ms() + 60_000
-    record = home.Record(
+    record = records.Record(
         flow=1,
         request=number,
         idempotent=False,
         deadline_ms=deadline_ms,
-        state=home.RecordState.RUNNING,
+        state=records.RecordState.RUNNING,
         caller=("127.0.0.1", 9),
         arrived_at=anyio.current_time(),
         keep_until_ms=deadline_ms + number,
@@ -368,7 +369,7 @@
 @behave.then("the hardened home reports {reason} and closes the connection")
 def check_faulty_answer(context, reason):
     """Check outcome, reason, and that no part of the answer is kept."""
-    assert context.record.state is home.RecordState.UNKNOWN
+    assert context.record.state is records.RecordState.UNKNOWN
     assert reasons.label(context.record.reason) == reason
     assert context.record.answer is None and not context.alive
 
@@ -415,7 +416,7 @@
                 frame = wire.Frame(wire.Kind.ANSWER, solo.SERVICE, 1, number)
                 frame.pieces, frame.body = 1, bytes(600)
                 await entry.on_piece(record, frame)
-                await entry.finish(record, home.RecordState.ANSWERED)
+                await entry.finish(record, records.RecordState.ANSWERED)
             targets.evict_answers()
             context.kept = [r.request for r in entry.records.values() if r.answer]
             context.buffered = entry.buffered_bytes
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -6,7 +6,7 @@
 import anyio
 import behave
 
-from basilgate import classes, health, home, reasons, wire
+from basilgate import classes, handovers, health, home, reasons, records, wire
 from lab import policybench, policyrig
 
 SHORT, LONG = wire.WorkClass.SHORT, wire.WorkClass.LONG
@@ -588,7 +588,7 @@
     """Return a copy of a request that its first home has passed on."""
     flow, request = context.key
     record = rig.homes[rig.target_of(1)].records[context.key]
-    assert record.state is home.RecordState.PASSED
+    assert record.state is records.RecordState.PASSED
     return wire.Frame(
         wire.Kind.REQUEST,
         policyrig.SERVICE,
@@ -622,14 +622,14 @@
         await anyio.sleep(0.05)
         old = rig.homes[rig.target_of(1)]
         frame = another_copy(context, rig)
-        handover = old.export("a-0", 1, 1)
+        handover = handovers.export(old, 1, 1)
         heir = home.Home(old.target, old.service, old.context, "a-1")
         heir.takeover(math.inf, "a-0", complete=True)
-        await heir.load(handover)
+        await handovers.load(heir, handover)
         await heir.on_frame(frame, ("127.0.0.1", 1))
         record = heir.records[context.key]
         context.heir = [(record.former, record.state, len(heir.queue))]
-        heir.former_lost("a-0")
+        handovers.former_lost(heir, "a-0")
         context.heir.append((record.former, record.state, len(heir.queue)))
 
     lose_started(context, save_budget, hand_over)
@@ -640,7 +640,7 @@
 )
 def check_heir_of_passed(context):
     """Check the record at the new home."""
-    states = home.RecordState
+    states = records.RecordState
     assert context.heir == [("a-0", states.PASSED, 0), ("", states.UNKNOWN, 0)]
 
 
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -75,7 +75,7 @@
 struct RequestRecord {
   1: required i64 flow,
   2: required i32 request,
-  // State of the request, see home.RecordState.
+  // State of the request, see records.RecordState.
   3: required i8 state,
   4: required i8 reason,
   5: required bool idempotent,
--- a/lab/pathbench.py
+++ b/lab/pathbench.py
@@ -26,9 +26,9 @@
 from basilgate import (
     client,
     datagrams,
-    home,
     opening,
     peering,
+    records,
     tokens,
     wire,
 )
@@ -270,9 +270,9 @@
             for number in range(STATE_COUNT):
                 entry.touch_flow(number << 40)
 
-        def records(state: home.RecordState) -> list[home.Record]:
+        def all_records(state: records.RecordState) -> list[records.Record]:
             return [
-                home.Record(
+                records.Record(
                     frame.flow,
                     1,
                     False,
@@ -281,13 +281,13 @@
                     ("127.0.0.1", 9),
                     0.0,
                     keep_until_ms=frame.deadline_ms + 2_000,
-                    frame=frame if state is home.RecordState.QUEUED else None,
+                    frame=frame if state is records.RecordState.QUEUED else None,
                 )
                 for frame in bodies
             ]
 
-        def table(state: home.RecordState) -> dict[tuple[int, int], home.Record]:
-            return {record.key: record for record in records(state)}
+        def table(state: records.RecordState) -> dict[tuple[int, int], records.Record]:
+            return {record.key: record for record in all_records(state)}
 
         def opens() -> None:
             opener: opening.Opener = server.balancer.opener
@@ -295,7 +295,7 @@
                 frame = wire.Frame(wire.Kind.OPEN, solo.SERVICE, number << 40)
                 opener.decide(frame)
 
-        queued = table(home.RecordState.QUEUED)
+        queued = table(records.RecordState.QUEUED)
         frame_bytes = allocated(
             lambda: [
                 wire.decode(wire.encode(r.frame)) for r in queued.values() if r.frame
@@ -304,7 +304,7 @@
         return {
             "flow at its home": allocated(flows),
             "ended request (record kept)": allocated(
-                lambda: table(home.RecordState.UNKNOWN)
+                lambda: table(records.RecordState.UNKNOWN)
             ),
             f"frame of a queued request ({BODY_BYTES}-byte body)": frame_bytes,
             "open in the owner's memory (10 s)": allocated(opens),
--- a/lab/policyrig.py
+++ b/lab/policyrig.py
@@ -24,6 +24,7 @@
     probing,
     queueing,
     reasons,
+    records,
     rendezvous,
     retries,
     slots,
@@ -310,7 +311,7 @@
                 await self.spiller.rebalance(entry)
 
 
-async def ignore_report(entry: home.Home, record: home.Record) -> None:
+async def ignore_report(entry: home.Home, record: records.Record) -> None:
     """Report nothing: no home changes hands in a rig."""
     del entry, record
 
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -21,6 +21,7 @@
 
 from basilgate import (
     effective,
+    handovers,
     home,
     membership,
     objects,
@@ -28,6 +29,7 @@
     peering,
     queueing,
     reasons,
+    records,
     rendezvous,
     replica,
     tokens,
@@ -232,13 +234,13 @@
     return config.targets[1], config.services[1]
 
 
-def record(number: int, state: home.RecordState) -> home.Record:
+def record(number: int, state: records.RecordState) -> records.Record:
     """Return the record of a request, with its frame while it is queued."""
     now = home.now_ms()
     frame = wire.Frame(
         wire.Kind.REQUEST, 1, 1 << 40 | number, number, body=bytes(100) + b"%d" % number
     )
-    return home.Record(
+    return records.Record(
         flow=frame.flow,
         request=number,
         idempotent=False,
@@ -247,7 +249,7 @@
         caller=("127.0.0.1", 40_000 + number % 1_000),
         arrived_at=anyio.current_time(),
         keep_until_ms=now + 4_000,
-        frame=frame if state is home.RecordState.QUEUED else None,
+        frame=frame if state is records.RecordState.QUEUED else None,
     )
 
 
@@ -260,11 +262,11 @@
     )
     found: Measured = {"flow at its home": (keep, "bytes each")}
     found["ended request record"] = (
-        held_bytes(2_000, lambda n: record(n, home.RecordState.REFUSED)),
+        held_bytes(2_000, lambda n: record(n, records.RecordState.REFUSED)),
         "bytes each",
     )
     found["queued request record"] = (
-        held_bytes(2_000, lambda n: record(n, home.RecordState.QUEUED)),
+        held_bytes(2_000, lambda n: record(n, records.RecordState.QUEUED)),
         "bytes each",
     )
     opened = {}
@@ -280,12 +282,12 @@
     for number in range(HANDOVER_FLOWS):
         source.touch_flow((1 << 63) + number * 0x9E3779B97F4A)
     for number in range(HANDOVER_RECORDS):
-        kept = record(number, home.RecordState.REFUSED)
+        kept = record(number, records.RecordState.REFUSED)
         source.records[kept.key] = kept
     codec = peering.Codec(bytes(32))
 
     def build() -> bytes:
-        return codec.encode("handover", source.export("host", 1, 1))
+        return codec.encode("handover", handovers.export(source, 1, 1))
 
     message = build()
     label = f"handover of {HANDOVER_RECORDS} records and {HANDOVER_FLOWS} flows"
@@ -296,7 +298,7 @@
     for _ in range(REPEATS):
         started = time.process_time()
         decoded = codec.decode(message).unwrap()[1]
-        await receiver.load(decoded)
+        await handovers.load(receiver, decoded)
         taken.append(time.process_time() - started)
     found["decode and load this handover"] = (statistics.median(taken), "s")
     found["upkeep of this home"] = (await upkeep_seconds(source), "s")
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -21,6 +21,7 @@
     platformapi,
     queueing,
     reasons,
+    records,
     replica,
     settings,
     wire,
@@ -186,12 +187,12 @@
         if not self.paused and self.network.nodes.get(self.address) is self:
             self.network.outcomes.setdefault(frame.key, []).append(frame)
 
-    async def retry(self, entry: home.Home, record: home.Record) -> reasons.Reason:
+    async def retry(self, entry: home.Home, record: records.Record) -> reasons.Reason:
         """Leave retries out."""
         del entry, record
         return reasons.Reason.NO_TARGET
 
-    async def report(self, entry: home.Home, record: home.Record) -> None:
+    async def report(self, entry: home.Home, record: records.Record) -> None:
         """Tell the new home about the end of a request."""
         await self.homes.report(entry, record)
 
@@ -233,7 +234,7 @@
                     wire.Kind.ANSWER, 1, record.flow, record.request, body=b"answer"
                 )
                 await entry.on_piece(record, answer)
-                await entry.finish(record, home.RecordState.ANSWERED)
+                await entry.finish(record, records.RecordState.ANSWERED)
             else:
                 record.forwarded = False
                 await entry.refuse(record, reasons.Reason.START_BY_PASSED)
