Treat an heir whose answer was lost as the former home

Cause, by reading: when the answer of a handover was lost and the target came back (the heir died, or a stop was called off), the host resumed with its old records and at once. The heir may have taken the handover and run requests under its lease, which would have run again. Change: the host waits as after any other takeover and treats missing records as unknown. Conclusion: at most once also holds for a handover that may have been taken.

--- a/basilgate/homes.py
+++ b/basilgate/homes.py
@@ -271,13 +271,15 @@
     async def send_handover(self, entry: home.Home, handover: typing.Any) -> None:
         """Give a target's records to its new home, whichever that is by now."""
         number = entry.target.id
+        # Member that may have taken the handover although its answer was lost.
+        heir: tuple[str, int] | None = None
         while True:
             member = self.assignment.get(number)
             if member is None:
                 break
             if member == self.members.me:
                 self.handing_over.discard(entry)
-                await self.take_back(entry, handover)
+                await self.take_back(entry, handover, heir)
                 return
             address = settings.split_address(member.peers)
             answer = await self.call(self.codec, address, "handover", handover)
@@ -286,13 +288,24 @@
                 entry.log("handed_over", to=member.host)
                 metrics.HANDOVERS.inc({"direction": "out", "outcome": "accepted"})
                 break
+            if isinstance(answer, result.Failure):
+                heir = (member.host, member.incarnation)
             metrics.HANDOVERS.inc({"direction": "out", "outcome": "retried"})
             await anyio.sleep(HANDOVER_RETRY_S)
         self.handing_over.discard(entry)
         await self.finish_departing(entry)
 
-    async def take_back(self, entry: home.Home, handover: typing.Any) -> None:
-        """Become the home again before the handover was taken."""
+    async def take_back(
+        self,
+        entry: home.Home,
+        handover: typing.Any,
+        heir: tuple[str, int] | None,
+    ) -> None:
+        """Become the home again before the handover was known to be taken.
+
+        A member that may have taken it is treated as the former home: it may have
+        run requests that this host has no records of.
+        """
         number = entry.target.id
         group = self.departing.get(number, [])
         if entry in group:
@@ -301,6 +314,11 @@
         if replaced is not None:
             self.retire(replaced)
         self.homes[number] = entry
+        if heir is not None:
+            entry.former = heir
+            entry.started_epoch = self.members.epoch
+            entry.takeover(math.inf, heir[0], complete=False)
+            self.update_rights(entry)
         await handovers.resume(entry, handover)
 
     async def on_handover(self, message: typing.Any) -> reasons.Reason:
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -73,6 +73,11 @@
       | 8     |
       | 24    |
 
+  Scenario: A handover that may have been taken is not simply taken back
+    Given a domain of 3 members
+    When a home leaves, its handover is taken but the answer is lost, and the heir dies
+    Then the former home waits for the heir's lease before it has authority again
+
   Scenario: A removal whose answer was lost takes effect once
     Given a domain of 3 members
     When one member is killed and the answer to its removal is lost
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -5,6 +5,7 @@
 
 import anyio
 import behave
+from returns import result
 
 from basilgate import clock, membership, reasons, wire
 from peerproto import ttypes
@@ -384,6 +385,54 @@
     assert context.heir
 
 
+@behave.when(
+    "a home leaves, its handover is taken but the answer is lost, and the heir dies"
+)
+def lose_handover_answer(context):
+    """Lose the answer of each handover call, then kill the heir."""
+
+    async def main():
+        async with domain(context.members) as network:
+            node = home_node(network, 1)
+            made = node.homes.call
+            heirs = []
+
+            async def lossy(codec, address, field, message):
+                heir = network.nodes.get(address)
+                await made(codec, address, field, message)
+                if heir is not None and message.target == 1:
+                    heirs.append(heir)
+                return result.Failure(reasons.Reason.NO_REPLY)
+
+            node.homes.call = lossy
+            node.members.leaving = True
+            node.on_change()
+            while not heirs:
+                await anyio.sleep(0.01)
+            assert heirs[0].homes.homes[1].has_authority()
+            network.kill(heirs[0])
+            # The stop is called off, so that the target comes back.
+            node.members.leaving = False
+            context.authority = []
+            start = anyio.current_time()
+            while anyio.current_time() < start + 20:
+                await anyio.sleep(0.1)
+                entry = node.homes.homes.get(1)
+                if entry is not None and entry.has_authority():
+                    context.authority.append(anyio.current_time() - start)
+            context.came_back = 1 in node.homes.homes
+
+    record(context, main)
+
+
+@behave.then("the former home waits for the heir's lease before it has authority again")
+def check_taken_back(context):
+    """Check when the former home has authority again."""
+    assert context.came_back
+    assert context.authority, "no authority again"
+    assert context.authority[0] >= membership.LEASE_S, context.authority[0]
+
+
 @behave.given("no host runs")
 def no_host(context):
     """Start from nothing."""
