Try silent targets by a connection, and take lapsed entries as dead if they are few

No host proved a loss (no target_lost in its logs): with 64 hosts each sees too few flows of a target for two repeated requests. Suspicions ended after 2 s, and targets whose entries had lapsed at 27 s drew new flows for 2 s more because they had none (617 unanswered openings from 28 to 30 s).

Change: evidence against a target starts a trial connection. A refusal, or silence while its failure domain is heard, proves the loss and resets its flows; a neighbour's proof is tried here if flows are open. A lost target stays suspect for 4 s. Lapsed entries count as doubtful unless half of the service lapsed. At most 32 targets are compared for an opening.

Tests: "A trial connection decides whether a silent target is gone" (8 cases), "What a trial finds" on real sockets, "Slow targets that reply are not tried".

--- a/basilgate/counters.py
+++ b/basilgate/counters.py
@@ -15,6 +15,7 @@
     "openings_total": "Opening packets forwarded, by service and copy",
     "resets_total": "Resets sent, by reason",
     "suspicions_total": "Targets suspected, by evidence",
+    "target_trials_total": "Trial connections to targets, by verdict",
     "store_calls_total": "Calls to the store, by kind and outcome",
     "peer_messages_total": "Messages between balancers, by direction and kind",
     "peer_bytes_total": "Bytes between balancers, by direction and reach",
--- a/basilgate/exchange.py
+++ b/basilgate/exchange.py
@@ -7,6 +7,7 @@
     clock,
     documentcache,
     eventlog,
+    fleetmodel,
     fleetview,
     flowtable,
     following,
@@ -136,9 +137,18 @@
         for token in report.suspects:
             target = self.view.target_for(token)
             if target is not None and (near or report.domain == target.domain):
-                self.suspicions.note_peer_failure(
-                    target.name, token in report.lost, now
-                )
+                lost = token in report.lost
+                self.suspicions.note_peer_failure(target.name, lost, now)
+                if lost and self.has_flows(target, now):
+                    self.forwarder.trials.want(target, now)
+
+    def has_flows(self, target: fleetmodel.Target, now: float) -> bool:
+        """Tell whether flows here may wait for a target that a neighbour lost."""
+        return (
+            self.flows.open_flows[target.name] > 0
+            and not self.suspicions.is_lost(target.name, now)
+            and not self.suspicions.replied_since(target.name, now - suspicion.QUIET_S)
+        )
 
     def report(self) -> None:
         """Tell other hosts of load and suspicions a few times a second."""
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -21,6 +21,7 @@
     forwarding,
     listening,
     neighbours,
+    reachability,
     readiness,
     relay,
     steering,
@@ -64,6 +65,8 @@
         )
         self.flows = flowtable.FlowTable()
         self.suspicions = suspicion.Suspicions(self.log, self.counts)
+        self.trials = reachability.Trials(self.log, self.counts)
+        self.trials.report = self.take_verdict
         self.others = neighbours.Neighbours(settings, self.log, self.counts)
         # Guards view, flows, and suspicions, which several threads use.
         self.lock = threading.Lock()
@@ -89,6 +92,7 @@
             self.flows,
             chooser,
             self.suspicions,
+            self.trials,
             self.send,
             settings.listen[1],
             self.log,
@@ -159,6 +163,16 @@
             with self.lock:
                 self.forwarder.handle(datagram)
 
+    def take_verdict(
+        self,
+        target: fleetmodel.Target,
+        verdict: reachability.Verdict,
+        began_at: float,
+    ) -> None:
+        """Act on what a trial of a target shows."""
+        with self.lock:
+            self.forwarder.take_verdict(target, verdict, began_at)
+
     def tell_ready(self) -> readiness.Answer:
         """Answer the routers' question whether to send packets here."""
         ready = self.view.ready and not self.stopping and not self.exchange.stranded
@@ -233,6 +247,9 @@
 
     def end_on_fault(self, fault: threading.ExceptHookArgs) -> None:
         """End the process, since a host that lacks a thread only seems to work."""
+        # Imported only now, since it takes a tenth of the time of each start.
+        import traceback
+
         text = "".join(
             traceback.format_exception(
                 fault.exc_type, fault.exc_value, fault.exc_traceback
@@ -248,9 +265,6 @@
         threading.excepthook = self.end_on_fault
         self.log.write("started", domain=settings.domain, pid=os.getpid())
         signal.signal(signal.SIGTERM, self.take_signal)
-        # Imported only now, since it takes a tenth of the time of each start.
-        import traceback
-
         signal.signal(signal.SIGHUP, self.take_signal)
         self.socket.bind(settings.listen)
         jobs = [follower.run for follower in self.followers]
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -12,6 +12,7 @@
     fleetview,
     flowtable,
     invariants,
+    reachability,
     reasons,
     steering,
     suspicion,
@@ -41,6 +42,8 @@
         Chooses targets of new flows.
     suspicions : suspicion.Suspicions
         Targets that seem to be gone.
+    trials : reachability.Trials
+        Tries targets that seem to be gone.
     send : callable
         Sends a datagram to an address without waiting.
     caller_port : int
@@ -55,6 +58,7 @@
         flows: flowtable.FlowTable,
         chooser: steering.Chooser,
         suspicions: suspicion.Suspicions,
+        trials: reachability.Trials,
         send: Send,
         caller_port: int,
         log: eventlog.EventLog,
@@ -64,6 +68,7 @@
         self.flows = flows
         self.chooser = chooser
         self.suspicions = suspicions
+        self.trials = trials
         self.send = send
         self.caller_port = caller_port
         self.log = log
@@ -133,7 +138,7 @@
             (packets.caller_ip(flow), self.caller_port),
         )
 
-    def reset_flows(self, target: fleetmodel.Target, asking: bytes) -> None:
+    def reset_flows(self, target: fleetmodel.Target, asking: bytes = b"") -> None:
         """Reset the other flows of a lost target.
 
         Their callers open new ones instead of sending requests that cannot arrive.
@@ -155,9 +160,7 @@
         flow = self.flows.flows.get(packet.flow)
         tried = flow.tried if flow is not None else ()
         if flow is not None and tried and packet.copy:
-            self.suspicions.note_failure(
-                tried[-1], packet.flow, "opening_repeated", flow.seen_at, now
-            )
+            self.suspect(tried[-1], packet.flow, "opening_repeated", flow.seen_at, now)
         self.check_openings(now)
         service = choose_service(route, packet.flow)
         chosen = self.chooser.choose(service, tried, now)
@@ -209,9 +212,49 @@
             flow = self.flows.flows.get(key)
             if flow is not None and not flow.opened and flow.target == target:
                 since = due - OPENING_ANSWER_S
-                self.suspicions.note_failure(
-                    target, None, "opening_unanswered", since, now
-                )
+                self.suspect(target, None, "opening_unanswered", since, now)
+
+    def suspect(
+        self, name: str, flow: bytes | None, evidence: str, since: float, now: float
+    ) -> None:
+        """Suspect a target, and have it tried if that is new."""
+        if self.suspicions.note_failure(name, flow, evidence, since, now):
+            entry = self.view.entries.get(name) or self.view.departed.get(name)
+            if entry is not None:
+                self.trials.want(entry.target, now)
+
+    def take_verdict(
+        self, tried: fleetmodel.Target, verdict: reachability.Verdict, began_at: float
+    ) -> None:
+        """Take a target as gone if a trial shows it; `began_at` is the trial's start.
+
+        A host that refuses connections has been reached. One that is silent may be
+        beyond a broken link, unless its failure domain is heard.
+        """
+        now = clock.steady_s()
+        held = self.view.target_for(tried.token)
+        if held is None or (held.address, held.started_ms) != (
+            tried.address,
+            tried.started_ms,
+        ):
+            return
+        if self.suspicions.replied_since(tried.name, began_at - OPENING_ANSWER_S):
+            return
+        if verdict is reachability.Verdict.REFUSES or (
+            verdict is reachability.Verdict.SILENT and self.is_heard(tried, now)
+        ):
+            self.suspicions.mark_lost(tried.name, f"connection_{verdict.value}", now)
+            self.reset_flows(tried)
+
+    def is_heard(self, lost: fleetmodel.Target, now: float) -> bool:
+        """Tell whether others in a target's failure domain were heard a moment ago."""
+        if self.chooser.others.reachable.get(lost.domain, False):
+            return True
+        return any(
+            self.suspicions.replied_since(entry.target.name, now - LOST_S)
+            for entry in self.view.entries.values()
+            if entry.target.domain == lost.domain and entry.target.name != lost.name
+        )
 
     def pass_on(self, packet: fleetmodel.Packet) -> None:
         """Send a packet of an open flow to the target that its token names."""
@@ -231,7 +274,7 @@
         flow = self.flows.pass_by(packet.flow, target.name, now)
         self.learn(packet, flow, now)
         if self.proves_loss(flow, target, now):
-            self.suspicions.mark_lost(target.name, now)
+            self.suspicions.mark_lost(target.name, "packets_without_reply", now)
             self.reset_flows(target, packet.flow)
         if packet.data_bytes and self.suspicions.is_lost(target.name, now):
             self.reset(packet, reasons.Reason.TARGET_UNREACHABLE)
@@ -262,7 +305,7 @@
         if flow.asked_at is not None and packet.sequence == flow.asked_sequence:
             flow.repeats += 1
             if flow.repeats >= SILENT_REPEATS:
-                self.suspicions.note_failure(
+                self.suspect(
                     flow.target, packet.flow, "request_repeated", flow.asked_at, now
                 )
         elif flow.asked_at is None:
@@ -283,7 +326,7 @@
         if asked_at is None or self.suspicions.replied_since(target.name, asked_at):
             return False
         if flow.repeats and self.suspicions.is_lost_at_peer(target.name, now):
-            return self.links_work(target, now)
+            return self.is_heard(target, now) or self.links_work(target, now)
         if flow.repeats < SILENT_REPEATS or now - asked_at < LOST_S:
             return False
         alone = self.suspicions.evidence_count(target.name, now) < LOST_EVIDENCE
--- a/basilgate/steering.py
+++ b/basilgate/steering.py
@@ -11,6 +11,9 @@
 # Flows that stay in their failure domain survive a cut of it.
 DISTANCE_LOAD = 0.3
 ASKED_LATELY_S = 5.0  # Services without openings for so long do not count.
+# Targets that are compared for one opening, so that its cost does not grow with the
+# service; the best of so many is near the best of all.
+COMPARED_LIMIT = 32
 LEAST_SHARE = 0.005  # Share of time in which an idle service's flow has a request.
 
 
@@ -90,8 +93,16 @@
         found = self.view.candidates(service)
         if not found:
             return None
-        best = min(self.doubts(entry, tried, now) for entry in found)
-        usable = [e for e in found if self.doubts(e, tried, now) == best]
+        if len(found) > COMPARED_LIMIT:
+            found = self.rng.sample(found, COMPARED_LIMIT)
+        # Many entries lapse together if the store was away, a few if targets died.
+        lapsed = sum(entry.closes_at is not None for entry in found)
+        died = lapsed * 2 < len(found)
+        doubts = [self.doubts(entry, tried, died, now) for entry in found]
+        best = min(doubts)
+        usable = [
+            entry for entry, doubt in zip(found, doubts, strict=True) if doubt == best
+        ]
         loads = self.loads(usable, now)
 
         def cost(position: int) -> tuple[float, float]:
@@ -102,14 +113,22 @@
         return usable[chosen], loads[chosen]
 
     def doubts(
-        self, entry: fleetview.Entry, tried: collections.abc.Sequence[str], now: float
+        self,
+        entry: fleetview.Entry,
+        tried: collections.abc.Sequence[str],
+        died: bool,
+        now: float,
     ) -> int:
-        """Return how much speaks against a target; 0 if nothing does."""
+        """Return how much speaks against a target; 0 if nothing does.
+
+        `died` tells whether targets whose entries lapsed are rather dead.
+        """
         name = entry.target.name
         doubts = 4 if name in tried else 0
         if self.is_cut_off(entry.target.domain, now):
             doubts += 2
-        return doubts + self.suspicions.is_suspect(name, now)
+        lapsed = died and entry.closes_at is not None
+        return doubts + (lapsed or self.suspicions.is_suspect(name, now))
 
     def is_stranded(self, now: float) -> bool:
         """Tell whether hosts of other failure domains would serve the callers better.
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -17,6 +17,7 @@
 PEER_REPORT_S = 0.6  # Three reports of a neighbour.
 # Below the time in which a healed link still excuses resets of flows that it carries.
 LOST_FOR_S = 1.5
+LOST_SUSPECT_S = 4.0  # Three heartbeats and a late watch, until its entry lapses.
 # Replies of a live target come many times a second under load.
 QUIET_S = 0.5
 
@@ -62,18 +63,19 @@
 
     def note_failure(
         self, target: str, flow: bytes | None, evidence: str, since: float, now: float
-    ) -> None:
+    ) -> bool:
         """Suspect a target that got a packet at a time and has not replied since.
 
-        Without a flow the evidence is too weak to count the target as gone.
+        Without a flow the evidence is too weak to count the target as gone. Returns
+        whether a new suspicion begins.
         """
         record = self.record(target)
         if record.replied_at > since:
-            return
+            return False
         if flow is not None:
             record.flows.add(flow)
         if record.until > now:
-            return
+            return False
         pause = min(SUSPECT_LAST_S, SUSPECT_FIRST_S * 2**record.failures)
         record.failures = min(record.failures + 1, 8)
         record.until = now + pause
@@ -81,6 +83,7 @@
         self.log.write(
             "target_suspected", target=target, evidence=evidence, pause_s=pause
         )
+        return True
 
     def note_peer_failure(self, target: str, lost: bool, now: float) -> None:
         """Note that a neighbour suspects a target that has been quiet here too.
@@ -110,9 +113,11 @@
                 record.reset()
 
     def is_suspect(self, target: str, now: float) -> bool:
-        """Tell whether a target is suspect."""
+        """Tell whether a target is suspect, or counts as gone."""
         record = self.records.get(target)
-        return record is not None and max(record.until, record.peer_suspect_until) > now
+        if record is None:
+            return False
+        return max(record.until, record.peer_suspect_until, record.lost_until) > now
 
     def own_suspects(self, now: float) -> list[str]:
         """Return the targets that are suspect by evidence of this host."""
@@ -130,18 +135,20 @@
             return 0
         return len(record.flows) + (record.peer_suspect_until > now)
 
-    def mark_lost(self, target: str, now: float) -> None:
+    def mark_lost(self, target: str, proof: str, now: float) -> None:
         """Take a target as gone for a while."""
         record = self.record(target)
         if record.lost_until <= now:
             self.log.write(
                 "target_lost",
                 target=target,
+                proof=proof,
                 evidence_count=self.evidence_count(target, now),
                 lost_at_peer=record.peer_lost_until > now,
                 quiet_s=now - record.replied_at if record.replied_at else "never",
             )
         record.lost_until = now + LOST_FOR_S
+        record.until = max(record.until, now + LOST_SUSPECT_S)
 
     def own_lost(self, now: float) -> list[str]:
         """Return the targets that count as gone here."""
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -221,3 +221,36 @@
     When a flow opens and its opening packet comes 1 times more
     And a flow opens from the same port
     Then its record knows one try only
+
+  Scenario Outline: A trial connection decides whether a silent target is gone
+    Given a forwarder with 3 targets and two flows at the first
+    When the hosts of its failure domain are <hosts>
+    And an opening at the first target is not continued
+    And its trial ends with <verdict> <when>
+    Then the flows at the first target are <result>
+
+    Examples:
+      | hosts     | verdict | when            | result |
+      | heard     | silent  | before a reply  | reset  |
+      | heard     | refuses | before a reply  | reset  |
+      | not heard | refuses | before a reply  | reset  |
+      | not heard | silent  | before a reply  | kept   |
+      | heard     | answers | before a reply  | kept   |
+      | heard     | unknown | before a reply  | kept   |
+      | heard     | silent  | after a reply   | kept   |
+      | heard     | refuses | after a restart | kept   |
+
+  Scenario: Slow targets that reply are not tried
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When both flows repeat their requests twice, and one of them gets a reply
+    Then no target is tried
+
+  Scenario Outline: What a trial finds
+    Given an address that <kind>
+    Then a trial of it ends with <verdict>
+
+    Examples:
+      | kind      | verdict |
+      | answers   | answers |
+      | refuses   | refuses |
+      | is silent | silent  |
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -19,6 +19,7 @@
     forwarding,
     invariants,
     neighbours,
+    reachability,
     steering,
     suspicion,
 )
@@ -29,6 +30,18 @@
 OPEN, ACK, RESET = 64, 16, 128
 
 
+class WantedTrials(reachability.Trials):
+    """Notes which targets are to be tried; steps say what a trial finds."""
+
+    def __init__(self, log, counts):
+        super().__init__(log, counts)
+        self.wanted = []
+
+    def want(self, target, now):
+        """Note a wish."""
+        self.wanted.append((target, now))
+
+
 class Rig:
     """A forwarder with a clock of its own and a list of what it sent."""
 
@@ -50,11 +63,13 @@
             NEAR,
             context.rng,
         )
+        self.trials = WantedTrials(self.log, self.counts)
         self.forwarder = forwarding.Forwarder(
             self.view,
             self.flows,
             self.chooser,
             self.suspicions,
+            self.trials,
             lambda datagram, address: self.sent.append((datagram, address)),
             CALLER_PORT,
             self.log,
@@ -112,7 +127,7 @@
     return fleetmodel.Configuration(version, by_key, 15.0)
 
 
-def target(number, domain=NEAR, service="desk", leaving=False):
+def target(number, domain=NEAR, service="desk", leaving=False, born=1):
     """Return a target."""
     return fleetmodel.Target(
         name=f"i-{number:x}",
@@ -124,7 +139,7 @@
         slots=3,
         leaving=leaving,
         cold_s=0.0,
-        started_ms=1,
+        started_ms=born,
     )
 
 
@@ -711,3 +726,84 @@
     """Check the record of the flow."""
     (flow,) = context.fleet.flows.flows.values()
     assert flow.tried == ("i-1",)
+
+
+@behave.when("an opening at the first target is not continued")
+def open_unanswered(context):
+    """Open a flow while the other targets are pulled, and wait for its due time."""
+    rig = context.fleet
+    for name in ("i-2", "i-3"):
+        found = fleetmodel.Override(name, "pull", "desk", name, None, None)
+        rig.view.take_override(found)
+    assert rig.open(3_000) == 1
+    rig.now += 0.11
+    rig.forwarder.check_openings(rig.now)
+
+
+@behave.when("the hosts of its failure domain are {heard}")
+def hear_domain(context, heard):
+    """Let other hosts of the near failure domain be heard or not."""
+    context.fleet.others.reachable = {NEAR: heard == "heard"}
+
+
+@behave.when("its trial ends with {verdict} {how}")
+def end_trial(context, verdict, how):
+    """Report the verdict of the trial that was wanted."""
+    rig = context.fleet
+    ((tried, began_at),) = rig.trials.wanted
+    assert tried.name == "i-1"
+    rig.now += 0.2
+    if how == "after a reply":
+        for position in (8, 9):
+            rig.handle(packet(2_003, ACK, token=1, acknowledged=position))
+    elif how == "after a restart":
+        again = target(1, born=2)
+        assert rig.view.take_target(again, 90)
+    rig.forwarder.take_verdict(tried, reachability.Verdict(verdict), began_at)
+
+
+@behave.then("the flows at the first target are {result}")
+def check_flows_of_lost(context, result):
+    """Check the resets of its open flows."""
+    rig = context.fleet
+    expected = [2_001, 2_002, 2_003] if result == "reset" else []
+    assert rig.suspicions.is_lost("i-1", rig.now) == (result == "reset")
+    assert sorted(resets(context)) == expected, resets(context)
+
+
+@behave.then("no target is tried")
+def check_untried(context):
+    """Check that nothing was wanted."""
+    assert context.fleet.trials.wanted == []
+
+
+@behave.fixture
+def tcp_address(context, kind):
+    """Give an address that answers, refuses, or drops opening packets."""
+    opened = [socket.socket(socket.AF_INET, socket.SOCK_STREAM)]
+    opened[0].bind(("127.0.0.1", 0))
+    context.address = opened[0].getsockname()
+    if kind != "refuses":
+        opened[0].listen(0)
+    while kind == "is silent" and len(opened) < 8:
+        # Connections that nobody accepts fill the queue.
+        filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        filler.setblocking(False)
+        filler.connect_ex(context.address)
+        opened.append(filler)
+    yield
+    for found in opened:
+        found.close()
+
+
+@behave.given("an address that {kind}")
+def make_address(context, kind):
+    """Set up an address."""
+    behave.use_fixture(tcp_address, context, kind)
+
+
+@behave.then("a trial of it ends with {verdict}")
+def check_trial(context, verdict):
+    """Try the address for real."""
+    found = reachability.try_address(context.address)
+    assert found is reachability.Verdict(verdict), found
