Keep sources of documents, ask the store in turn, and list old entries at the start

Clients changed their source 950 times, since a report more or less changed the choice. A slow store let 402 hosts find themselves behind a neighbour after 0.3 s, and each then made three calls. When a source ended, all hosts of its failure domain called at once, with all kinds. Each start made three full listings. Far domains were taken as silent 1,404 times, since one report a round reaches one of 21 hosts.

Change: a source is kept while it follows the store; one that takes no connection is avoided for 1.5 s. A host that is behind for 0.6 s takes the documents of the neighbour that knows more, and only readers ask the store. Hosts wait for those that have run longer, 0.25 s each; one kind asks alone while the store fails. Reports go to 8 near hosts and 2 of each other domain a round, with addresses in each fifth.

Tests: old first listings with and without history, listings that change between pages, calls of 550 hosts that the store turns away, a suspended host, rank, kept sources.

--- a/basilgate/exchange.py
+++ b/basilgate/exchange.py
@@ -20,8 +20,10 @@
 from platformedge import documents
 
 # A change reaches all hosts that follow the store within some milliseconds.
-BEHIND_S = 0.3
-CHECK_AGAIN_S = 1.2  # Just above the time limit of such a check.
+# Two readers differ by the time in which they gather changes, and by a call.
+BEHIND_S = 0.6
+# With the time above just more than the time limit of a check.
+CHECK_AGAIN_S = 0.65
 PAUSE_LIMIT_S = 1.0  # Far above a late timer, below the 3 s of a change.
 
 
@@ -71,12 +73,15 @@
         self.log = log
         # Whether hosts of other failure domains are to take over this one's callers.
         self.stranded = False
-        # Time since which a neighbour has known more, None if none does, and the most
-        # that any has known.
+        # Time since which a neighbour has known more, None if none does, the most that
+        # any has known, and which.
         self.behind_since: float | None = None
         self.best_version = 0
         self.best_target = 0
-        # Latest revision of a target, by a neighbour, for which the store was asked.
+        self.best_ip = ""
+        # Latest revision of a target that was asked for, and the one for which the
+        # neighbour had nothing more to tell.
+        self.asked_target = 0
         self.checked_target = 0
 
     def reads(self) -> bool:
@@ -96,18 +101,30 @@
             self.compare(report, now)
 
     def compare(self, report: neighbours.Report, now: float) -> None:
-        """Ask the store if a neighbour has known more for some time.
+        """Catch up with a neighbour that has known more for some time.
 
         The store may be silent for this host, or for its source, while it serves
-        others; nothing but a neighbour shows it.
+        others; nothing but a neighbour shows it. A host that follows the store finds
+        out whether it still answers.
         """
+        if (
+            report.config_version >= self.best_version
+            and report.newest_target >= self.best_target
+        ):
+            self.best_ip = report.ip
         self.best_version = max(self.best_version, report.config_version)
         self.best_target = max(self.best_target, report.newest_target)
+        if self.relay_client.caught_up:
+            self.checked_target = self.asked_target
         configuration = self.view.configuration
         version = configuration.version if configuration is not None else 0
         newest_target = self.documentcache.newest(documents.TARGETS_KIND)
-        # A target that is gone again may never show here, so each revision counts once.
-        known_target = max(newest_target, self.checked_target)
+        # A target that is gone again may never show among the documents.
+        known_target = max(
+            newest_target,
+            self.documentcache.revision(documents.TARGETS_KIND),
+            self.checked_target,
+        )
         if self.best_version <= version and self.best_target <= known_target:
             self.behind_since = None
             return
@@ -117,7 +134,7 @@
             return
         # Leaves the check time to fail before the next one.
         self.behind_since = now + CHECK_AGAIN_S
-        self.checked_target = self.best_target
+        self.asked_target = self.best_target
         self.log.write(
             "behind_neighbour",
             neighbour=report.host,
@@ -127,9 +144,10 @@
             their_newest_target=self.best_target,
             relayed=self.relay_client.is_fresh(),
         )
-        self.relay_client.distrust()
-        for follower in self.followers:
-            follower.check_now()
+        self.relay_client.catch_up(self.best_ip)
+        if self.reads():
+            for follower in self.followers:
+                follower.check_now()
 
     def take_failures(self, report: neighbours.Report, now: float) -> None:
         """Take over suspicions of hosts near this one or near the target."""
--- a/basilgate/following.py
+++ b/basilgate/following.py
@@ -22,6 +22,10 @@
 # which the bounds allow 3 s.
 GATHER_S = 0.25
 RELAY_CHECK_S = 0.1  # How soon the store is asked once its relay has ended.
+# Hosts of a failure domain ask the store one after the other, so that one that serves
+# the first of them gets no calls of the others. Of the 3 s of a change two remain.
+RANK_STEP_S = 0.25
+RANKS_LIMIT = 4
 
 
 class Follower:
@@ -39,6 +43,8 @@
         Another source of documents, preferred while it is fresh.
     log, counts
         Log and metrics.
+    first : Follower, optional
+        The follower that asks alone while the store turns this host away.
     """
 
     def __init__(
@@ -49,6 +55,7 @@
         relay_client: relay.RelayClient,
         log: eventlog.EventLog,
         counts: counters.Counters,
+        first: "Follower | None" = None,
     ) -> None:
         self.kind = kind
         self.connection = connection
@@ -56,6 +63,7 @@
         self.relay_client = relay_client
         self.log = log
         self.counts = counts
+        self.first = first
         self.failures = 0
         self.history_gone = False
         # The next call only asks whether something was missed, and the one that
@@ -79,12 +87,20 @@
     def run(self) -> None:
         """Follow the kind until the process ends."""
         while True:
-            self.relayed = self.known and self.relay_client.is_fresh()
-            if self.relayed or clock.steady_s() < self.watch_from:
+            relayed = self.known and self.relay_client.is_fresh()
+            if self.relayed and not relayed:
+                self.watch_from = clock.steady_s() + self.turn_s()
+            self.relayed = relayed
+            waits = self.first is not None and self.first.failures > 0
+            if relayed or waits or clock.steady_s() < self.watch_from:
                 time.sleep(RELAY_CHECK_S)
             else:
                 self.step()
 
+    def turn_s(self) -> float:
+        """Return how long hosts that have run longer may take to become the source."""
+        return RANK_STEP_S * min(self.relay_client.rank(), RANKS_LIMIT)
+
     def check_now(self) -> None:
         """Ask the store at once instead of waiting for the watch."""
         self.checking = self.interrupted = True
@@ -96,7 +112,11 @@
         revision = self.held.revision(self.kind)
         complete = revision == 0 or self.history_gone
         if complete:
-            found = store.list_kind(self.connection, self.kind, READ_LIMIT_S)
+            # The first listing may be old: a watch from its revision, or the source,
+            # brings what has changed since. One that replaces lost history may not.
+            found = store.list_kind(
+                self.connection, self.kind, READ_LIMIT_S, may_be_old=revision == 0
+            )
         else:
             wait_s = CHECK_WAIT_S if self.checking else WATCH_WAIT_S
             slack_s = CHECK_SLACK_S if self.checking else WATCH_SLACK_S
@@ -121,7 +141,7 @@
             self.log.write("document_unreadable", kind=self.kind, problem=problem)
         self.held.update(self.kind, found, complete)
         if not revision:
-            self.watch_from = clock.steady_s() + RELAY_WAIT_S
+            self.watch_from = clock.steady_s() + RELAY_WAIT_S + self.turn_s()
         elif found.documents:
             self.watch_from = clock.steady_s() + GATHER_S
 
@@ -141,7 +161,7 @@
                 revision=self.held.revision(self.kind),
             )
         longest = min(RETRY_LAST_S, RETRY_FIRST_S * 2 ** min(self.failures, 10))
-        time.sleep(longest * random.uniform(0.5, 1.0))
+        time.sleep(longest * random.uniform(0.5, 1.0) + self.turn_s())
 
 
 class ViewFeed:
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -111,17 +111,18 @@
             self.others, self.documentcache, self.log, self.counts
         )
         self.relay_client.refused = self.refused
-        self.followers = [
-            following.Follower(
+        self.followers: list[following.Follower] = []
+        for kind in self.documentcache.kinds:
+            follower = following.Follower(
                 kind,
                 store.Connection(settings.store),
                 self.documentcache,
                 self.relay_client,
                 self.log,
                 self.counts,
+                self.followers[0] if self.followers else None,
             )
-            for kind in self.documentcache.kinds
-        ]
+            self.followers.append(follower)
         self.exchange = exchange.Exchange(
             self.others,
             self.view,
--- a/basilgate/neighbours.py
+++ b/basilgate/neighbours.py
@@ -21,13 +21,19 @@
 # Longer than a cut of a failure domain, so that neighbours find each other again.
 FORGET_S = 60.0
 SEED_ROUNDS = 25  # Seeds are asked again every 5 s.
-NEAR_LIMIT = 16  # Reports to the own failure domain in a round.
+# Reports to the own failure domain in a round. Its hosts hear as many a round, so that
+# bytes do not grow with the failure domain.
+NEAR_LIMIT = 8
 # Hosts of another failure domain that hear this one in a round. With as many hosts
-# there as here each of them hears three reports a round, and one if they are many.
+# there as here each of them hears three reports a round, and two if they are many: one
+# of many hosts would hear none in three rounds every few seconds.
 FAR_LIMIT = 3
-FAR_LIMIT_MANY = 1
+FAR_LIMIT_MANY = 2
 MANY = 8  # Hosts of a failure domain.
+# A host of a failure domain of 30 is heard every 0.6 s in the mean.
+SOURCE_HEARD_S = 1.2
 INTRODUCED_LIMIT = 8  # Addresses of other neighbours in a report.
+INTRODUCED_ROUNDS = 5  # Rounds between two reports with such addresses.
 REPORT_BYTES = 8_192  # Counts of some 500 targets.
 
 
@@ -212,7 +218,7 @@
             n.report
             for n in list(self.known.values())
             if n.report is not None
-            and now - n.heard_at <= SILENT_S
+            and now - n.heard_at <= SOURCE_HEARD_S
             and n.ip not in avoided
         ]
         if refused:
@@ -231,6 +237,17 @@
             found = min(others, key=self.affinity, default=None)
         return found.ip if found is not None else None
 
+    def rank(self, now: float) -> int:
+        """Return how many hosts of the own failure domain have run longer."""
+        own = (self.started_ms, self.settings.own_ip)
+        return sum(
+            neighbour.report is not None
+            and neighbour.report.domain == self.settings.domain
+            and now - neighbour.heard_at <= SOURCE_HEARD_S
+            and seniority(neighbour.report) < own
+            for neighbour in list(self.known.values())
+        )
+
     def affinity(self, report: Report) -> int:
         """Return a number that spreads clients over sources and stays the same."""
         return zlib.crc32(f"{self.settings.own_ip} {report.ip}".encode())
@@ -245,7 +262,7 @@
         lost: list[int],
     ) -> None:
         """Send this host's report to its neighbours."""
-        ips = list(self.known)
+        ips = list(self.known) if self.rounds % INTRODUCED_ROUNDS == 0 else []
         report = Report(
             host=self.settings.name,
             domain=self.settings.domain,
--- a/basilgate/relay.py
+++ b/basilgate/relay.py
@@ -25,9 +25,10 @@
 BEAT_LIMIT_S = 0.7
 CONNECT_LIMIT_S = 0.3  # Round trips between failure domains take some milliseconds.
 PAUSE_S = 0.2  # Between two looks for a source; a report comes about as often.
-# Time for which a source that was behind is avoided: longer than a host needs to notice
-# that the store is silent for it.
-DISTRUST_S = 10.0
+# Time for which a host that did not take a connection is no source; by then it is no
+# longer heard if it has gone.
+AVOID_S = 1.5
+CATCH_UP_S = 0.6  # A connection and a large configuration at 10 Mbit/s.
 SEND_LIMIT_S = 2.0  # A client that does not read for so long is dropped.
 
 
@@ -220,7 +221,12 @@
         self.fresh_until = 0.0
         self.relay_source = ""
         # Time until which a host is no source, by its address.
-        self.distrusted: dict[str, float] = {}
+        self.avoided: dict[str, float] = {}
+        # A host that has known more than this one, until when to ask it, and whether it
+        # has nothing more to tell.
+        self.ahead = ""
+        self.ahead_until = 0.0
+        self.caught_up = False
         # Whether the store turns this host away.
         self.refused: Reads = bool
 
@@ -228,11 +234,15 @@
         """Tell whether a source that follows the store was heard a moment ago."""
         return clock.steady_s() < self.fresh_until
 
-    def distrust(self) -> None:
-        """Look for another source, since the source was found to be behind."""
-        self.fresh_until = 0.0
-        if self.relay_source:
-            self.distrusted[self.relay_source] = clock.steady_s() + DISTRUST_S
+    def rank(self) -> int:
+        """Return how many near hosts are to follow the store before this one."""
+        return self.others.rank(clock.steady_s())
+
+    def catch_up(self, ip: str) -> None:
+        """Take what another host knows, whether or not it follows the store."""
+        self.ahead = ip
+        self.caught_up = False
+        self.ahead_until = clock.steady_s() + CATCH_UP_S
 
     def run(self) -> None:
         """Follow a source whenever there is one, until the process ends."""
@@ -243,10 +253,17 @@
             time.sleep(PAUSE_S)
 
     def choose(self) -> str | None:
-        """Return the address of the source, None to read the store."""
+        """Return the address of the source, None to read the store.
+
+        A source is kept while it follows the store.
+        """
         now = clock.steady_s()
+        if now < self.ahead_until:
+            return self.ahead
+        if self.relay_source and now < self.fresh_until:
+            return self.relay_source
         known = all(self.held.changes().values())
-        avoided = [ip for ip, until in self.distrusted.items() if now < until]
+        avoided = [ip for ip, until in self.avoided.items() if now < until]
         return self.others.relay_source(now, self.refused(), known, avoided)
 
     def follow_source(self, ip: str) -> None:
@@ -254,7 +271,11 @@
         opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         opened.settimeout(CONNECT_LIMIT_S)
         try:
-            opened.connect((ip, self.others.port))
+            try:
+                opened.connect((ip, self.others.port))
+            except OSError:
+                self.avoided[ip] = clock.steady_s() + AVOID_S
+                raise
             store.set_probes(opened)
             opened.settimeout(BEAT_LIMIT_S)
             with self.held.changed:
@@ -276,6 +297,8 @@
         """Take over a message of the source."""
         kind = frame.kind or "beat"
         self.counts.add("peer_messages_total", direction="in", kind=kind)
+        if not frame.kind and self.relay_source == self.ahead:
+            self.caught_up = True
         if frame.kind in self.held.kinds:
             found = [documents.StoredDocument(*entry) for entry in frame.documents]
             listing = store.Listing(found, frame.revision, [])
--- a/features/fleet_feed.feature
+++ b/features/fleet_feed.feature
@@ -162,3 +162,43 @@
     And the second host's settings change without a signal
     Then it logs settings_reloaded
     And it is still ready
+
+  Scenario: A host that starts with an old listing hears what has changed since
+    Given a store with 2 targets
+    And the store's listings that may be old stay as they are now
+    And a target is added, one is removed, and configuration 9 comes
+    When a host follows the store
+    Then it knows the added target and not the removed one
+    And configuration 9 is in force there
+
+  Scenario: A host that starts with a listing older than the history
+    Given a store with 2 targets
+    And the store's listings that may be old stay as they are now
+    And a target is added, one is removed, and configuration 9 comes
+    And the store forgets its history
+    When a host follows the store
+    Then it knows the added target and not the removed one
+    And configuration 9 is in force there
+
+  Scenario: A listing whose pages change while they are read
+    Given a store with 7 targets
+    And targets that change after each page of a listing
+    When a host follows the store
+    Then it knows the targets that the store has
+
+  Scenario Outline: Hosts that the store turns away stay within its rates together
+    Given a store with 2 targets
+    When 20 hosts follow a store that answers <status> for 2 s
+    Then 550 hosts would make less than 2000 calls a second
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+
+  Scenario: A host that was suspended checks what it knows
+    Given a store with 2 targets
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And the second host is suspended for 2 s while configuration 9 is written
+    Then the second host notes the pause, and configuration 9 is in force on it
--- a/features/fleet_neighbours.feature
+++ b/features/fleet_neighbours.feature
@@ -41,3 +41,32 @@
     Given a host with neighbours
     When random datagrams arrive
     Then no neighbour is known
+
+  Scenario: Hosts of a failure domain ask the store in the order of their start
+    Given a host with neighbours
+    When near hosts have started at 10, 20, 60, this one at 50, and a far one at 1
+    Then 2 hosts are to ask before it
+    When 1.3 s pass without reports
+    Then 0 hosts are to ask before it
+
+  Scenario: A source is kept while it follows the store
+    Given a host with neighbours
+    When near hosts have started at 20, this one at 50, and a far one at 1
+    And this host takes documents from the near 20
+    And a near host that has started at 10 is heard
+    Then it stays with the near 20
+    When the near 20 no longer follows the store
+    Then it goes to the near 10
+
+  Scenario: A host that does not take a connection is no source for a while
+    Given a host with neighbours
+    When near hosts have started at 10, 20, this one at 50, and a far one at 1
+    And the near 10 takes no connection
+    Then it goes to the near 20
+
+  Scenario: A host that is behind catches up with the one that knows more
+    Given a host with neighbours
+    When near hosts have started at 20, this one at 50, and a far one at 1
+    And this host takes documents from the near 20
+    And the far host is found to know more
+    Then it goes to the far host until it has caught up
--- a/features/steps/fleet_commands_steps.py
+++ b/features/steps/fleet_commands_steps.py
@@ -6,7 +6,7 @@
 import threading
 
 import behave
-from fleet_feed_steps import eventually, follow
+from fleet_feed_steps import Older, eventually, follow
 
 from basilgate import cmdline, following, outcomes, relay
 from platformedge import documents, store
@@ -50,7 +50,7 @@
     kind = documents.OVERRIDES_KIND
     apply = feed.apply_overrides
     held = type(host.documentcache)({kind: apply}, threading.Lock())
-    relay_client = relay.RelayClient(None, held, host.log, host.counts)
+    relay_client = relay.RelayClient(Older(), held, host.log, host.counts)
     connection = store.Connection(context.address)
     follower = following.Follower(
         kind, connection, held, relay_client, host.log, host.counts
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -23,7 +23,6 @@
     following,
     forwarder,
     listening,
-    neighbours,
     relay,
 )
 from platformedge import documents, store
@@ -73,6 +72,87 @@
         context.store.put("servers", f"i-{position:08x}", entry(position))
 
 
+@behave.given("the store's listings that may be old stay as they are now")
+def keep_old(context):
+    """Keep a copy of the store for such listings."""
+    context.store.faults.old = context.store.copy()
+
+
+@behave.given("a target is added, one is removed, and configuration {version:d} comes")
+def change_all(context, version):
+    """Change targets and configuration."""
+    context.store.put("servers", "i-000000bb", entry(8))
+    context.store.remove("servers", "i-00000001")
+    context.store.put("config", "main", configuration(version))
+
+
+@behave.given("the store forgets its history")
+def forget(context):
+    """Drop the history."""
+    context.store.forget_history()
+
+
+@behave.then("configuration {version:d} is in force there")
+def check_in_force(context, version):
+    """Check the configuration of the host in this process."""
+    view = context.host.view
+    eventually(
+        lambda: (
+            view.configuration is not None and view.configuration.version == version
+        ),
+        f"configuration {version}",
+    )
+
+
+@behave.given("targets that change after each page of a listing")
+def change_between_pages(context):
+    """Add a target before the page that was read, and remove one behind it."""
+    changes = iter(
+        [
+            lambda: context.store.put("servers", "i-00000000a", entry(90)),
+            lambda: context.store.remove("servers", "i-00000007"),
+        ]
+    )
+    context.store.faults.after_page = lambda: next(changes, lambda: None)()
+
+
+@behave.then("it knows the targets that the store has")
+def check_same(context):
+    """Check the names."""
+    entries = context.host.view.entries
+    eventually(
+        lambda: set(entries) == set(context.store.kinds["servers"]),
+        f"{sorted(entries)} are {sorted(context.store.kinds['servers'])}",
+    )
+
+
+@behave.when("{count:d} hosts follow a store that answers {status:d} for {seconds:g} s")
+def follow_refused(context, count, status, seconds):
+    """Let many hosts follow the store, which then refuses all of them."""
+    behave.use_fixture(quiet_log, context)
+    hosts = [Host(context.address, context.null, rank) for rank in range(count)]
+    eventually(lambda: all(host.view.ready for host in hosts), "all hosts are ready")
+    with context.store.changed:
+        context.store.faults.status = status
+        for connection in (c for host in hosts for c in host.connections):
+            connection.abort()
+        calls = sum(context.store.calls.values())
+    time.sleep(seconds)
+    context.calls_each = (sum(context.store.calls.values()) - calls) / count / seconds
+    context.store.faults.status = 0
+    context.store.put("config", "main", configuration(9))
+    eventually(
+        lambda: all(host.view.configuration.version == 9 for host in hosts),
+        "configuration 9 on all hosts",
+    )
+
+
+@behave.then("{hosts:d} hosts would make less than {rate:d} calls a second")
+def check_rate(context, hosts, rate):
+    """Check the rate of calls of the capacity goal."""
+    assert 0 < context.calls_each * hosts < rate, context.calls_each
+
+
 ENTRIES = {
     "without an address": ("i-000000aa", {"service": "desk", "slots": 3}),
     "with text for the slots": ("i-000000aa", entry(9, slots="three")),
@@ -89,10 +169,24 @@
     context.store.put("servers", *ENTRIES[what])
 
 
+class Older:
+    """Neighbours of which some have run longer, and none follows the store."""
+
+    def __init__(self, count=0):
+        self.count = count
+
+    def rank(self, now):  # noqa: ARG002
+        """Return how many have run longer."""
+        return self.count
+
+    def relay_source(self, *_):
+        """Return no source."""
+
+
 class Host:
     """The parts of a host that follow the store, in this process."""
 
-    def __init__(self, address, descriptor):
+    def __init__(self, address, descriptor, rank=0):
         self.log = eventlog.EventLog(descriptor, "h1")
         self.counts = counters.Counters()
         self.view = fleetview.FleetView(self.log, self.counts, 60.0)
@@ -102,9 +196,8 @@
             documents.TARGETS_KIND: feed.apply_targets,
         }
         self.documentcache = documentcache.DocumentCache(appliers, threading.Lock())
-        others = neighbours.Neighbours.__new__(neighbours.Neighbours)
         relay_client = relay.RelayClient(
-            others, self.documentcache, self.log, self.counts
+            Older(rank), self.documentcache, self.log, self.counts
         )
         self.connections = []
         for kind in appliers:
@@ -650,3 +743,22 @@
     """Write other seeds into the settings file."""
     path = context.hosts[1].path
     path.write_text(path.read_text().replace(f'"{HOSTS[2]}:1"', f'"{HOSTS[3]}:1"'))
+
+
+@behave.when("the second host is suspended for {seconds:g} s while {what}")
+def suspend(context, seconds, what):
+    """Stop a process and let it go on."""
+    assert what == "configuration 9 is written"
+    process = context.hosts[1].process
+    process.send_signal(signal.SIGSTOP)
+    context.store.put("config", "main", configuration(9))
+    time.sleep(seconds)
+    process.send_signal(signal.SIGCONT)
+
+
+@behave.then("the second host notes the pause, and configuration 9 is in force on it")
+def check_after_pause(context):
+    """Check the log and the metrics of the host."""
+    host = context.hosts[1]
+    eventually(lambda: "event=pause_detected" in host.log(), "pause_detected")
+    eventually(lambda: "version=9" in host.log(), "configuration 9")
--- a/features/steps/fleet_neighbours_steps.py
+++ b/features/steps/fleet_neighbours_steps.py
@@ -2,13 +2,22 @@
 
 import os
 import socket
+import threading
 
 import behave
 import hypothesis
 import hypothesis.strategies as st
 from fleet_feed_steps import free_port
 
-from basilgate import counters, eventlog, fleetmodel, neighbours
+from basilgate import (
+    clock,
+    counters,
+    documentcache,
+    eventlog,
+    fleetmodel,
+    neighbours,
+    relay,
+)
 
 NEAR, FAR, TOKEN = "d1", "d2", 77
 
@@ -42,7 +51,13 @@
     context.others = neighbours.Neighbours(settings, log, counters.Counters())
     context.others.started_ms = 50
     context.now = 100.0
+    held = documentcache.DocumentCache({"config": lambda *_: None}, threading.Lock())
+    context.relay_client = relay.RelayClient(
+        context.others, held, log, context.others.counts
+    )
+    real, clock.steady_s = clock.steady_s, lambda: context.now
     yield
+    clock.steady_s = real
     context.others.socket.close()
     os.close(null)
 
@@ -150,3 +165,64 @@
 def check_none(context):
     """Check that nothing was taken over."""
     assert context.others.known == {}
+
+
+@behave.then("{count:d} hosts are to ask before it")
+def check_rank(context, count):
+    """Check the rank."""
+    assert context.others.rank(context.now) == count
+
+
+@behave.when("this host takes documents from the near 20")
+def take_documents(context):
+    """Follow a source that follows the store."""
+    context.relay_client.relay_source = "127.0.0.20"
+    context.relay_client.take(relay.Frame("", 0, False, [], True))
+
+
+@behave.when("a near host that has started at 10 is heard")
+def hear_older(context):
+    """Hear a host that would be chosen first."""
+    context.others.take(report("127.0.0.10", NEAR, 10), context.now)
+
+
+@behave.when("the near 20 no longer follows the store")
+def lose_store(context):
+    """Take a sign of life of a source that lost the store."""
+    context.relay_client.take(relay.Frame("", 0, False, [], False))
+
+
+@behave.then("it stays with the near {started:d}")
+@behave.then("it goes to the near {started:d}")
+def check_source(context, started):
+    """Check the choice."""
+    assert context.relay_client.choose() == f"127.0.0.{started}"
+
+
+@behave.when("the near 10 takes no connection")
+def refuse_connection(context):
+    """Let a connection fail; nothing listens at that address."""
+    assert context.relay_client.choose() == "127.0.0.10"
+    context.relay_client.follow_source("127.0.0.10")
+
+
+@behave.when("the far host is found to know more")
+def find_ahead(context):
+    """Let the far host be ahead."""
+    context.relay_client.catch_up("127.0.0.99")
+
+
+@behave.then("it goes to the far host until it has caught up")
+def check_catch_up(context):
+    """Check the choice, and that it ends."""
+    client = context.relay_client
+    assert client.choose() == "127.0.0.99" and not client.caught_up
+    client.relay_source = "127.0.0.99"
+    client.take(relay.Frame("config", 7, True, [], True))
+    assert not client.caught_up
+    client.take(relay.Frame("", 0, False, [], True))
+    assert client.caught_up
+    client.relay_source = ""
+    context.now += relay.CATCH_UP_S
+    context.others.take(report("127.0.0.20", NEAR, 20), context.now)
+    assert client.choose() == "127.0.0.20"
--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -1,6 +1,8 @@
 """Stand-in of the users' store: documents, watches, and faults, over HTTP."""
 
 import collections
+import collections.abc
+import copy
 import http.server
 import json
 import threading
@@ -90,6 +92,10 @@
         This many writes take effect and their connection is closed unanswered.
     delay_s : float
         Delay of each answer.
+    old : FleetStore or None
+        State from which listings that may be old are answered.
+    after_page : callable or None
+        Called once a page of a listing that goes on was read.
     """
 
     def __init__(self) -> None:
@@ -97,6 +103,8 @@
         self.silent = False
         self.lose_answers = 0
         self.delay_s = 0.0
+        self.old: FleetStore | None = None
+        self.after_page: collections.abc.Callable[[], None] | None = None
 
 
 class FleetStore:
@@ -148,6 +156,14 @@
         del self.history[:-HISTORY_LENGTH]
         self.changed.notify_all()
 
+    def copy(self) -> "FleetStore":
+        """Return a store with the objects and the revision of this moment."""
+        found = FleetStore()
+        with self.changed:
+            found.revision = self.revision
+            found.kinds.update(copy.deepcopy(self.kinds))
+        return found
+
     def forget_history(self) -> None:
         """Drop the history, so that older watches end with 410."""
         with self.changed:
@@ -221,7 +237,12 @@
                 wait_s = int(query.get("wait-ms", 0)) / 1e3
                 found = store.wait(kind, int(query["watch"]), wait_s)
                 return (200, found) if found is not None else (410, {})
-            return 200, store.list_page(kind, query.get("after", ""))
+            old = self.faults.old if "allow-stale" in query else None
+            listed = old if old is not None else store
+            page = listed.list_page(kind, query.get("after", ""))
+            if page["more"] and self.faults.after_page is not None:
+                self.faults.after_page()
+            return 200, page
         name = names[0] if names else body["meta"]["name"]
         held = store.kinds[kind].get(name)
         if self.command == "POST":
