Let clients leave a source that stops before it has gone

A catch-up could also end before the former source's next sign of life let it begin.

Change: a host that is stopping says that it no longer follows the store; a catch-up has 1.0 s and ends as soon as the neighbour has nothing more to tell.

--- a/basilgate/exchange.py
+++ b/basilgate/exchange.py
@@ -73,6 +73,8 @@
         self.log = log
         # Whether hosts of other failure domains are to take over this one's callers.
         self.stranded = False
+        # Whether this host is stopping, so that its clients find another source.
+        self.leaving = False
         # Time since which a neighbour has known more, None if none does, the most that
         # any has known, and which.
         self.behind_since: float | None = None
@@ -85,8 +87,8 @@
         self.checked_target = 0
 
     def reads(self) -> bool:
-        """Tell whether this host follows the store without trouble."""
-        return all(follower.reads for follower in self.followers)
+        """Tell whether this host follows the store without trouble, and goes on."""
+        return not self.leaving and all(f.reads for f in self.followers)
 
     def hear(self) -> None:
         """Take over reports of other hosts as they come."""
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -225,7 +225,7 @@
         if number == signal.SIGHUP:
             self.reload_wanted = True
         elif not self.stopping:
-            self.stopping = True
+            self.stopping = self.exchange.leaving = True
             threading.Thread(target=self.stop, daemon=True).start()
 
     def stop(self) -> None:
--- a/basilgate/relay.py
+++ b/basilgate/relay.py
@@ -28,7 +28,9 @@
 # Time for which a host that did not take a connection is no source; by then it is no
 # longer heard if it has gone.
 AVOID_S = 1.5
-CATCH_UP_S = 0.6  # A connection and a large configuration at 10 Mbit/s.
+# A sign of life of the former source, a pause, a connection, and a large configuration
+# at 10 Mbit/s.
+CATCH_UP_S = 1.0
 SEND_LIMIT_S = 2.0  # A client that does not read for so long is dropped.
 
 
@@ -258,7 +260,7 @@
         A source is kept while it follows the store.
         """
         now = clock.steady_s()
-        if now < self.ahead_until:
+        if now < self.ahead_until and not self.caught_up:
             return self.ahead
         if self.relay_source and now < self.fresh_until:
             return self.relay_source
--- a/features/fleet_feed.feature
+++ b/features/fleet_feed.feature
@@ -88,6 +88,14 @@
     And it forwards packets for a while
     And it exits with 0
 
+  Scenario: Clients leave a source that stops before it has gone
+    Given a store with 2 targets
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And the first host gets SIGTERM
+    Then the other hosts have left it before it closes their connections
+    And configuration 9 reaches them
+
   Scenario: A bad settings file on reload
     Given a store with 2 targets
     And three hosts of one failure domain
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -762,3 +762,34 @@
     host = context.hosts[1]
     eventually(lambda: "event=pause_detected" in host.log(), "pause_detected")
     eventually(lambda: "version=9" in host.log(), "configuration 9")
+
+
+@behave.when("the first host gets SIGTERM")
+def terminate_source(context):
+    """Send SIGTERM to the source once the others follow it."""
+    connected = f"event=relay_connected host=host-{{}} relay_source={HOSTS[0]}"
+    for host in context.hosts[1:]:
+        eventually(
+            lambda host=host: connected.format(host.ip) in host.log(), "relay_connected"
+        )
+    context.hosts[0].process.send_signal(signal.SIGTERM)
+
+
+@behave.then("the other hosts have left it before it closes their connections")
+def check_left(context):
+    """Check why the connections to the source ended."""
+    assert context.hosts[0].process.wait(LIMIT_S) == 0
+    for host in context.hosts[1:]:
+        lost = [
+            line
+            for line in host.log().splitlines()
+            if "event=relay_lost" in line and f"relay_source={HOSTS[0]} " in line
+        ]
+        assert lost and all("reason=other_source" in line for line in lost), lost
+
+
+@behave.then("configuration 9 reaches them")
+def check_reaches(context):
+    """Write a configuration and wait for it on the other hosts."""
+    context.store.put("config", "main", configuration(9))
+    eventually(lambda: all(h.version() == 9 for h in context.hosts[1:]), "version 9")
--- a/features/steps/fleet_neighbours_steps.py
+++ b/features/steps/fleet_neighbours_steps.py
@@ -222,7 +222,14 @@
     assert not client.caught_up
     client.take(relay.Frame("", 0, False, [], True))
     assert client.caught_up
-    client.relay_source = ""
+    client.relay_source, client.fresh_until = "", 0.0
+    assert client.choose() == "127.0.0.20"
+
+
+@behave.then("it gives up the far host after a while")
+def check_give_up(context):
+    """Check that a host that tells nothing is not waited for."""
+    client = context.relay_client
     context.now += relay.CATCH_UP_S
     context.others.take(report("127.0.0.20", NEAR, 20), context.now)
-    assert client.choose() == "127.0.0.20"
+    assert not client.caught_up and client.choose() == "127.0.0.20"
