Let the soak break links to the store, step clocks, age listings, and crash targets

Cause: the soak had no connections that are delayed, reset, or silent one way, no clock that jumps, and no listing that is old.

Change: each host reaches its store through a proxy, and runs with a time of day that the soak sets. Targets listen for health checks while they live.

--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -2,8 +2,8 @@
 
 ``python -m lab.fleetsoak --seed N --seconds S`` starts forwarders, targets, callers,
 and a store on loopback, injects faults that the seed decides, and judges what callers
-and targets saw. It ends with status 1 if a promise was broken. One runs at a time: the
-addresses are fixed.
+and targets saw. It ends with status 1 if a promise was broken. Runs of different seeds
+have different addresses, so that some can run at a time; ``--logs DIR`` keeps the logs.
 """
 
 import collections.abc
@@ -13,6 +13,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -23,12 +24,11 @@
 
 import fire
 
-from standins import fleetcaller, fleetstore, fleettarget
+from basilgate import forwarder
+from standins import fleetcaller, fleetstore, fleettarget, linkproxy, skewedhost
 
-HOST_IPS = ("127.0.31.1", "127.0.31.2", "127.0.31.3", "127.0.31.4")
 DOMAINS = ("d1", "d1", "d2", "d2")
-TARGET_IPS = ("127.0.32.1", "127.0.32.2", "127.0.32.3", "127.0.32.4", "127.0.32.5")
-CALLERS_IP = "127.0.33.1"
+TARGETS = 5
 SERVICE_IP = "198.18.0.1"
 SERVICE_PORT = 443
 CALLERS = 12
@@ -65,8 +65,15 @@
         self.path = soak.folder / f"{ip}.toml"
         self.faults = fleetstore.Faults()
         _, address = fleetstore.serve(soak.store, self.faults)
-        text = fleetstore.settings_text(ip, domain, soak.port, address, HOST_IPS[:3])
-        self.path.write_text(text)
+        # The host's own link to the store.
+        self.link = linkproxy.LinkProxy(address)
+        self.path.write_text(
+            fleetstore.settings_text(
+                ip, domain, soak.port, self.link.address, soak.host_ips[:3]
+            )
+        )
+        self.clock_path = soak.folder / f"{ip}.offset"
+        self.clock_path.write_text("0")
         # Held while a fault has the process.
         self.lock = threading.Lock()
         self.process = self.start()
@@ -75,8 +82,12 @@
         """Start the process; its output is appended to one log."""
         with (self.soak.folder / f"{self.ip}.log").open("ab") as output:
             return subprocess.Popen(
-                [sys.executable, "-m", "basilgate.forwarder"],
-                env={**os.environ, "BASILGATE_CONFIG": str(self.path)},
+                [sys.executable, "-m", "standins.skewedhost"],
+                env={
+                    **os.environ,
+                    forwarder.SETTINGS_VARIABLE: str(self.path),
+                    skewedhost.OFFSET_VARIABLE: str(self.clock_path),
+                },
                 stdout=output,
                 stderr=output,
             )
@@ -99,6 +110,10 @@
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self.rng = random.Random(seed)
         self.folder = folder
+        # A network of its own for each seed: hosts, targets, callers.
+        net = f"127.{100 + seed % 100}"
+        self.host_ips = [f"{net}.31.{n + 1}" for n in range(len(DOMAINS))]
+        self.target_ips = [f"{net}.32.{n + 1}" for n in range(TARGETS)]
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
             probe.bind(("127.0.0.1", 0))
             self.port = probe.getsockname()[1] // 4 * 4
@@ -107,16 +122,17 @@
         self.ending = threading.Event()
         self.calm = threading.Event()
         self.version = 1
-        self.targets = [self.add_target(n + 1) for n in range(len(TARGET_IPS))]
+        self.targets = [self.add_target(n + 1) for n in range(TARGETS)]
         self.write_configuration()
         self.hosts = [
-            Host(self, ip, domain) for ip, domain in zip(HOST_IPS, DOMAINS, strict=True)
+            Host(self, ip, domain)
+            for ip, domain in zip(self.host_ips, DOMAINS, strict=True)
         ]
-        self.callers = fleetcaller.Callers(CALLERS_IP, self.port + 1, seed)
+        self.callers = fleetcaller.Callers(f"{net}.33.1", self.port + 1, seed)
 
     def add_target(self, number: int) -> fleettarget.FleetTarget:
         """Start a target and list it."""
-        ip = TARGET_IPS[number % len(TARGET_IPS)]
+        ip = self.target_ips[number % TARGETS]
         found = fleettarget.FleetTarget(number, "desk", ip, self.port + 1)
         self.list_target(found, "ready")
         return found
@@ -148,12 +164,12 @@
 
     def route(self) -> None:
         """Keep the router's list of ready hosts, as the platform does."""
-        misses = dict.fromkeys(HOST_IPS, 2)
+        misses = dict.fromkeys(self.host_ips, 2)
         while not self.ending.is_set():
             for host in self.hosts:
                 misses[host.ip] = 0 if host.is_ready() else misses[host.ip] + 1
             usable = [ip for ip, count in misses.items() if count < 2]
-            self.callers.hosts = usable or list(HOST_IPS)
+            self.callers.hosts = usable or list(self.host_ips)
             time.sleep(0.5)
 
     def call(self, number: int) -> None:
@@ -211,7 +227,7 @@
                 if time.monotonic() > ends_at:
                     raise TimeoutError("hosts are not ready")
                 time.sleep(0.05)
-            self.callers.hosts = list(HOST_IPS)
+            self.callers.hosts = list(self.host_ips)
             threads = [threading.Thread(target=job, daemon=True) for job in jobs]
             for thread in threads:
                 thread.start()
@@ -324,6 +340,43 @@
     faults.status, faults.silent = 0, False
 
 
+@register
+def break_link(soak: Soak, span_s: float) -> None:
+    """Delay, reset, or silence the connections of a host to the store."""
+    link = soak.rng.choice(soak.hosts).link
+    fault = soak.rng.choice(["delay", "reset", "silent", "up", "down"])
+    soak.disturb("hosts", span_s)
+    link.delay_s = 0.3 if fault == "delay" else 0.0
+    link.silent_up = fault in ("silent", "up")
+    link.silent_down = fault in ("silent", "down")
+    if fault == "reset":
+        link.reset()
+    time.sleep(span_s)
+    link.delay_s, link.silent_up, link.silent_down = 0.0, False, False
+
+
+@register
+def step_clock(soak: Soak, span_s: float) -> None:
+    """Let the time of day jump on some hosts, and back again."""
+    hosts = soak.rng.sample(soak.hosts, 2)
+    for host in hosts:
+        host.clock_path.write_text(str(soak.rng.choice([-4.0, 4.0])))
+    time.sleep(span_s)
+    for host in hosts:
+        host.clock_path.write_text("0")
+
+
+@register
+def age_listings(soak: Soak, span_s: float) -> None:
+    """Let listings that may be old stay as they are for a time."""
+    old = soak.store.copy()
+    for host in soak.hosts:
+        host.faults.old = old
+    time.sleep(span_s)
+    for host in soak.hosts:
+        host.faults.old = None
+
+
 @register
 def forget_history(soak: Soak, span_s: float) -> None:
     """Let the store drop its history."""
@@ -333,7 +386,7 @@
 
 @register
 def silence_target(soak: Soak, span_s: float) -> None:
-    """Let a target be silent for a time."""
+    """Let packets to a target be lost for a time."""
     target = soak.rng.choice(soak.targets)
     soak.disturb(f"target {target.number}", span_s)
     target.silent = True
@@ -341,6 +394,16 @@
     target.silent = False
 
 
+@register
+def crash_target(soak: Soak, span_s: float) -> None:
+    """Let a target crash and start again."""
+    target = soak.rng.choice(soak.targets)
+    soak.disturb(f"target {target.number}", span_s)
+    target.crash()
+    time.sleep(span_s)
+    target.restart()
+
+
 @register
 def replace_target(soak: Soak, span_s: float) -> None:
     """Let a target leave for good, and start another one."""
@@ -362,10 +425,12 @@
     soak.write_configuration()
 
 
-def main(seed: int = 1, seconds: float = 30.0) -> int:
+def main(seed: int = 1, seconds: float = 30.0, logs: str = "") -> int:
     """Run one soak, print what was seen, and return the exit status."""
     with tempfile.TemporaryDirectory() as folder:
         evidence = Soak(seed, pathlib.Path(folder)).run(seconds)
+        if logs:
+            shutil.copytree(folder, logs, dirs_exist_ok=True)
     print(f"seed {seed}: {evidence.answered} answered, {evidence.lost} lost")
     print(f"faults: {', '.join(evidence.faults)}")
     for violation in evidence.violations:
--- a/lab/pathbench.py
+++ b/lab/pathbench.py
@@ -1,8 +1,9 @@
 """Cost of the packet path: `python -m lab.pathbench`.
 
 Times are processor times of this process, given as ratios to a bare anyio UDP relay
-that forwards the same packets. The cases run in turns, and the median over the turns
-counts, so that the load of the machine cancels out.
+that forwards the same packets, also those of the packet program. The cases run in
+turns, and the median over the turns counts, so that the load of the machine cancels
+out.
 """
 
 import collections.abc
@@ -32,7 +33,7 @@
     tokens,
     wire,
 )
-from lab import solo
+from lab import fleetpath, solo
 
 # A batch has to fit into a receive buffer of the usual size.
 BATCH = 150
@@ -312,21 +313,21 @@
 
 
 def summarise(
-    packets: dict[str, list[float]],
+    packet_times: dict[str, list[float]],
     functions: dict[str, list[float]],
     state: dict[str, float],
 ) -> dict[str, dict[str, float]]:
     """Return medians as ratios to the bare relay, paired by turn."""
-    bare = packets["bare relay"]
+    bare = packet_times["bare relay"]
     ratios = {
         name: statistics.median(t / b for t, b in zip(times, bare, strict=True))
-        for name, times in packets.items()
+        for name, times in packet_times.items()
     }
     ratios["whole path with the extra hop"] = statistics.median(
         (relay + at_home) / b
         for relay, at_home, b in zip(
-            packets["relay to the home"],
-            packets["at the home, relayed"],
+            packet_times["relay to the home"],
+            packet_times["at the home, relayed"],
             bare,
             strict=True,
         )
@@ -367,10 +368,11 @@
         Anything but an empty text profiles the packets first.
     """
     count = int(turns)
-    packets = anyio.run(bench_packets, count, bool(profile))
+    packet_times = anyio.run(bench_packets, count, bool(profile))
+    packet_times.update(fleetpath.bench(count, RELAY_ADDRESS))
     functions = bench_functions(count)
     state = anyio.run(bench_state)
-    summary = summarise(packets, functions, state)
+    summary = summarise(packet_times, functions, state)
     show(summary)
     OUT.parent.mkdir(exist_ok=True)
     OUT.write_text(json.dumps(summary, indent=2) + "\n", encoding="utf-8")
--- a/standins/fleettarget.py
+++ b/standins/fleettarget.py
@@ -41,8 +41,34 @@
         self.foreign = 0
         self.silent = False
         self.ended = False
+        # Health checks come over TCP to the same address.
+        self.health: socket.socket | None = None
+        self.listen()
         threading.Thread(target=self.run, daemon=True).start()
 
+    def listen(self) -> None:
+        """Take TCP connections; nothing is read from them."""
+        self.stop_listening()
+        self.health = socket.create_server(self.address)
+
+    def stop_listening(self) -> None:
+        """Refuse TCP connections."""
+        if self.health is not None:
+            self.health.close()
+            self.health = None
+
+    def crash(self) -> None:
+        """Take nothing any more, and forget all flows."""
+        self.silent = True
+        self.stop_listening()
+        self.flows.clear()
+
+    def restart(self) -> None:
+        """Serve again, without the flows of before, unless it has ended."""
+        if not self.ended:
+            self.listen()
+            self.silent = False
+
     def run(self) -> None:
         """Serve datagrams until the target ends."""
         while not self.ended:
@@ -52,6 +78,7 @@
                 continue
             if not self.silent:
                 self.take(datagram)
+        self.stop_listening()
         self.socket.close()
 
     def take(self, datagram: bytes) -> None:
