--- a/basilgate/fleettrace.py
+++ b/basilgate/fleettrace.py
@@ -13,7 +13,13 @@
 # Time that the platform allows until a version is in force everywhere.
 IN_FORCE_S = 3.0
 
-TARGET_EVENTS = ("target_suspected", "target_lost", "target_removed", "target_changed")
+TARGET_EVENTS = (
+    "target_suspected",
+    "target_tried",
+    "target_lost",
+    "target_removed",
+    "target_changed",
+)
 SOURCE_EVENTS = (
     "store_lost",
     "store_regained",
--- a/features/fleet_soak.feature
+++ b/features/fleet_soak.feature
@@ -17,3 +17,9 @@
       | seed |
       | 43   |
       | 45   |
+
+    # Trials of live targets were refused, since the stand-in took no connections.
+    Examples: Seeds that failed before targets took connections
+      | seed |
+      | 202  |
+      | 204  |
--- a/features/fleet_trace.feature
+++ b/features/fleet_trace.feature
@@ -8,6 +8,14 @@
     Then the trace of 100.64.0.7:2001>198.18.0.1:443 says target_gone
     And it shows target_suspected, target_lost, flow_reset
 
+  Scenario: A flow whose target a trial connection found gone
+    Given a forwarder with 3 targets and two flows at the first
+    When the hosts of its failure domain are heard
+    And an opening at the first target is not continued
+    And the trial connection that follows is refused
+    Then the trace of 100.64.0.7:2001>198.18.0.1:443 says target_gone
+    And it shows target_suspected, target_tried, target_lost, flow_reset
+
   Scenario: A flow whose first target did not reply to its opening
     Given a forwarder with 3 targets
     When a flow opens and its opening packet comes 2 times more
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -8,6 +8,7 @@
 import behave
 import hypothesis
 import hypothesis.strategies as st
+import msgspec
 
 from basilgate import (
     clock,
@@ -762,6 +763,22 @@
     rig.forwarder.take_verdict(tried, reachability.Verdict(verdict), began_at)
 
 
+@behave.when("the trial connection that follows is refused")
+def refuse_trial(context):
+    """Run a real trial of the target's address, at which nothing listens."""
+    rig = context.fleet
+    ((tried, began_at),) = rig.trials.wanted
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as unused:
+        unused.bind(("127.0.0.1", 0))
+        here = msgspec.structs.replace(tried, address=unused.getsockname())
+        verdicts = []
+        rig.trials.report = lambda _, verdict, at: verdicts.append((verdict, at))
+        rig.trials.places.acquire()
+        rig.trials.run(here, began_at)
+    ((verdict, at),) = verdicts
+    rig.forwarder.take_verdict(tried, verdict, at)
+
+
 @behave.then("the flows at the first target are {result}")
 def check_flows_of_lost(context, result):
     """Check the resets of its open flows."""
