Split pings between domains and the self-report from balancer.py

Change: `domainpings` says which failure domains are reachable and with which load; `selfreport` answers status, health, and explanations. Nothing else changes.

The opening of callers' flows stays there, since it needs the same sockets and homes as routing.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -1,6 +1,5 @@
 """Balancer process of one entry host: sockets, dispatch, and shutdown."""
 
-import collections.abc
 import pathlib
 import random
 import signal
@@ -21,6 +20,7 @@
     clock,
     configsync,
     datagrams,
+    domainpings,
     effective,
     explaining,
     gauges,
@@ -44,6 +44,7 @@
     rendezvous,
     replica,
     retries,
+    selfreport,
     settings,
     spill,
     tls,
@@ -59,13 +60,7 @@
 RELAY_SPILLED = 4
 
 UPKEEP_S = 1.0
-PING_INTERVAL_S = 1.0
-# The lifetime of a datagram in the fabric, and twice the bound of clock skew.
-PING_LIFETIME_S = membership.DATAGRAM_LIFETIME_S + 2 * membership.CLOCK_SKEW_S
-DOMAIN_UNREACHABLE_S = 3.0
 STOP_POLL_S = 0.1
-# Peers hold a host that is silent for longer for dead.
-LOOP_LAG_LIMIT_S = membership.DEAD_AFTER_INTERVAL_S
 
 
 # Names of enumeration members are slow to get.
@@ -130,7 +125,6 @@
         self.spill = spill.POLICIES.get(config.policies.spill)()
         self.spiller = spill.Spiller(self.spill, passing)
         self.spiller.elsewhere = self.target_elsewhere
-        self.domain_loads = spill.DomainLoads()
         self.prober = probing.Prober(self.rng)
         context = home.Context(
             send=self.send_to_caller,
@@ -157,7 +151,6 @@
             placement.POLICIES.get(config.policies.placement),
             config.limits.token_lifetime_s,
         )
-        self.opener.is_reachable = self.is_reachable
         self.homes.on_started = self.on_home_started
         self.members.loads = self.homes.loads
         self.members.on_change = self.on_view_change
@@ -176,8 +169,19 @@
         self.peers_context = peering.context_of(
             settings.split_address(config.listen.peers)
         )
-        # Monotonic time until which each other domain counts as reachable.
-        self.reachable_until: dict[str, float] = {}
+        self.pings = domainpings.DomainPings(
+            self.members,
+            self.store,
+            self.sync,
+            self.codec,
+            self.opener,
+            self.send_to_peer,
+            self.rng,
+        )
+        self.opener.is_reachable = self.pings.is_reachable
+        self.reports = selfreport.SelfReport(
+            self.observer, self.sync, self.homes, self.ring, self.clock
+        )
 
     # Configuration.
 
@@ -453,11 +457,11 @@
         now = anyio.current_time()
         domain, _ = self.opener.spilled.get(frame.flow, ("", 0.0))
         if not domain:
-            chosen = self.domain_loads.domain_for_open(
+            chosen = self.pings.loads.domain_for_open(
                 self.spill,
                 frame.service,
                 self.opener.candidates(frame.service),
-                self.is_reachable,
+                self.pings.is_reachable,
             )
             if chosen is None:
                 return False
@@ -534,7 +538,7 @@
 
     def target_elsewhere(self, service: int) -> placement.Candidate | None:
         """Return a target in the least loaded domain that has room."""
-        least = self.domain_loads.least(service, self.is_reachable)
+        least = self.pings.loads.least(service, self.pings.is_reachable)
         if least is None:
             return None
         targets = [
@@ -588,70 +592,10 @@
         elif field == "view_changed":
             self.members.on_view_changed(message)
         elif field == "domain_ping":
-            await self.on_ping(message, address)
+            drop(await self.pings.on_ping(message, address))
         else:
             drop(reasons.Reason.UNEXPECTED_KIND)
 
-    async def on_ping(self, message: typing.Any, address: tuple[str, int]) -> None:
-        """Note that another domain is reachable, and answer."""
-        if abs(clock.unix_s() - message.sent_ms / 1000) > PING_LIFETIME_S:
-            drop(reasons.Reason.STALE)
-            return
-        now = anyio.current_time()
-        self.reachable_until[message.domain] = now + DOMAIN_UNREACHABLE_S
-        self.domain_loads.update(message.domain, message.loads or [])
-        self.sync.on_peer_digest(
-            address, message.config_revision, message.config_digest
-        )
-        if message.reply_wanted:
-            asked = [load.target for load in message.loads or []]
-            limited = asked[: spill.SERVICES_PER_PING]
-            reply = self.ping(address, limited, reply_wanted=False)
-            await self.send_to_peer(reply, address)
-
-    def ping(
-        self,
-        address: tuple[str, int],
-        services: collections.abc.Iterable[int],
-        reply_wanted: bool,
-    ) -> bytes:
-        """Return a ping to another failure domain with the loads of services.
-
-        The reply to a ping has the loads of the services that the ping names.
-        """
-        message = ttypes.DomainPing(
-            self.members.me.host,
-            self.members.domain,
-            self.members.me.incarnation,
-            self.store.revision,
-            self.store.digest,
-            reply_wanted,
-            self.domain_loads.report(services, self.opener.candidates),
-            sent_ms=clock.unix_ms(),
-        )
-        context = peering.context_of(address)
-        return self.codec.encode("domain_ping", message, context)
-
-    async def ping_domains(self) -> None:
-        """Ping one random member of each other domain."""
-        while True:
-            for name, view in self.store.under(objects.VIEW_PREFIX).items():
-                if name == self.members.view_name or not isinstance(view, objects.View):
-                    continue
-                if view.members:
-                    member = self.rng.choice(view.members)
-                    address = settings.split_address(member.peers)
-                    asked = self.domain_loads.asked(list(self.effective.services))
-                    datagram = self.ping(address, asked, reply_wanted=True)
-                    await self.send_to_peer(datagram, address)
-            await anyio.sleep(PING_INTERVAL_S)
-
-    def is_reachable(self, domain: str) -> bool:
-        """Tell whether a failure domain has answered lately."""
-        if domain == self.members.domain:
-            return True
-        return self.reachable_until.get(domain, 0.0) > anyio.current_time()
-
     async def serve_call(self, stream: anyio.abc.ByteStream) -> None:
         """Answer one call of a peer over TCP."""
         async with stream:
@@ -682,78 +626,6 @@
             self.store, self.base, self.effective, self.members, self.homes.homes
         )
 
-    def explain(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
-        """Return why a target gets or does not get new flows."""
-        return explaining.explain(
-            self.observer(),
-            parameters.get("service", ""),
-            parameters.get("target", ""),
-            clock.utc(),
-        )
-
-    def status(self, parameters: dict[str, str]) -> dict[str, typing.Any]:
-        """Return what this host knows of itself and its domain.
-
-        ``objects`` is a comma-separated list of objects whose versions in force
-        are wanted.
-        """
-        wanted = [name for name in parameters.get("objects", "").split(",") if name]
-        observer = self.observer()
-        view = self.members.view
-        return {
-            "host": self.members.me.host,
-            "incarnation": self.members.me.incarnation,
-            "failure_domain": self.members.domain,
-            "epoch": self.members.epoch,
-            "member": self.members.is_member(),
-            "leaving": self.members.leaving,
-            "revision": self.store.revision,
-            "digest": self.store.digest,
-            "configuration": explaining.configuration(observer, wanted),
-            "platform_lost_at": self.sync.platform_lost_at,
-            "targets": explaining.notable_targets(observer),
-            "directory": explaining.directory(self.store),
-            "members": [m.host for m in view.members] if view is not None else [],
-            "peers": {
-                name: {
-                    "revision": peer.config_revision,
-                    "digest": peer.config_digest,
-                    "alive": self.members.is_alive(name),
-                }
-                for name, peer in self.members.peers.items()
-            },
-            "configured": bool(self.effective.services and self.ring.keys),
-            "homes_waiting": sum(
-                bool(entry.awaiting_from or not entry.has_authority())
-                for entry in self.homes.homes.values()
-            ),
-            "homes": {
-                entry.target.name: {
-                    "flows": len(entry.flows),
-                    "running": len(entry.running),
-                    "queued": len(entry.queue),
-                    "healthy": entry.healthy,
-                    "health": entry.monitor.explain(anyio.current_time()),
-                }
-                for entry in self.homes.homes.values()
-            },
-        }
-
-    def health(self) -> dict[str, typing.Any]:
-        """Return whether this host serves, and what speaks against it."""
-        lag_s = self.clock.lag_s()
-        checks = {
-            "member": self.members.is_member(),
-            "configured": bool(self.effective.services and self.ring.keys),
-            "loop_alive": lag_s < LOOP_LAG_LIMIT_S,
-            "staying": not self.members.leaving,
-        }
-        return {"healthy": all(checks.values()), **checks, "loop_lag_s": lag_s}
-
-    def refresh_metrics(self) -> None:
-        """Bring the gauges up to date."""
-        gauges.refresh(self.members, self.homes, self.effective, self.clock)
-
     # Life.
 
     async def upkeep(self) -> None:
@@ -780,9 +652,9 @@
             self.settings.tls,
         )
         application = admin.application(
-            {"status": self.status, "explain": self.explain},
-            self.health,
-            self.refresh_metrics,
+            {"status": self.reports.status, "explain": self.reports.explain},
+            self.reports.health,
+            self.reports.refresh_metrics,
         )
         async with self.platform, anyio.create_task_group() as tasks:
             self.homes.tasks = tasks
@@ -797,7 +669,7 @@
             )
             tasks.start_soon(self.sync.run)
             tasks.start_soon(self.members.run)
-            tasks.start_soon(self.ping_domains)
+            tasks.start_soon(self.pings.run)
             tasks.start_soon(self.upkeep)
             tasks.start_soon(self.clock.run)
             logs.event(LOGGER.info, "started", incarnation=self.members.me.incarnation)
--- a/lab/solo.py
+++ b/lab/solo.py
@@ -138,7 +138,7 @@
             "echo": peer.newest_sent_us,
             "leaving": peer.leaving,
             "ended": set(members.ended),
-            "reachable": dict(self.balancer.reachable_until),
+            "reachable": dict(self.balancer.pings.reachable_until),
             "loaded": set(entry.loaded) if entry is not None else None,
         }
 
