Gather changes at the store for 0.5 s

Change: a reader waits 0.5 s after a change before it asks for the next ones, and a host is behind after 0.9 s, so that readers that gather at different moments do not look behind.

--- a/basilgate/exchange.py
+++ b/basilgate/exchange.py
@@ -20,10 +20,10 @@
 from platformedge import documents
 
 # A change reaches all hosts that follow the store within some milliseconds.
-# Two readers differ by the time in which they gather changes, and by a call.
-BEHIND_S = 0.6
-# With the time above just more than the time limit of a check.
-CHECK_AGAIN_S = 0.65
+# Two readers differ by the 0.5 s in which they gather changes, and by a slow call.
+BEHIND_S = 0.9
+# With the time above more than the time limit of a check.
+CHECK_AGAIN_S = 0.35
 PAUSE_LIMIT_S = 1.0  # Far above a late timer, below the 3 s of a change.
 
 
--- a/basilgate/following.py
+++ b/basilgate/following.py
@@ -20,7 +20,7 @@
 RELAY_WAIT_S = 0.6  # A few rounds of reports, and a connection.
 # Changes that come in a burst are fetched together. Adds to the time of a change, of
 # which the bounds allow 3 s.
-GATHER_S = 0.25
+GATHER_S = 0.5
 RELAY_CHECK_S = 0.1  # How soon the store is asked once its relay has ended.
 # Hosts of a failure domain ask the store one after the other, so that one that serves
 # the first of them gets no calls of the others. Of the 3 s of a change two remain.
--- a/basilgate/readiness.py
+++ b/basilgate/readiness.py
@@ -39,7 +39,7 @@
                 data = accepted.recv(RECEIVE_BYTES)
                 if not data:
                     return
-                requests.feed(data)
+                requests.parser.feed_data(data)
                 while requests.paths:
                     accepted.sendall(self.answer(requests.paths.popleft()))
         except (OSError, httptools.HttpParserError):
@@ -70,16 +70,6 @@
         self.paths: collections.deque[str] = collections.deque()
         self.open = True
 
-    def feed(self, data: bytes) -> None:
-        """Take the next bytes.
-
-        Raises
-        ------
-        httptools.HttpParserError
-            If they are no HTTP.
-        """
-        self.parser.feed_data(data)
-
     def on_message_begin(self) -> None:
         """Start a request."""
         self.target = b""
