Let callers back off while nothing answers their opens

Callers repeated an open every 0.2 s for as long as it lasted, so that slower balancers got more packets; requests had backed off before.

Change: opens are repeated after 0.2, 0.4, and then every 0.8 s, as requests are.

Test: "Callers back off while nothing answers their opens": 30 copies in 6 s before, 9 after.

--- a/basilgate/client.py
+++ b/basilgate/client.py
@@ -11,8 +11,11 @@
 
 from basilgate import clock, datagrams, reasons, wire
 
+# Pauses before the first repetition; they double with each one up to the factor, so
+# that callers do not press harder the slower the balancers are.
 OPEN_RETRANSMIT_S = 0.2
 REQUEST_RETRANSMIT_S = 0.25
+LARGEST_BACKOFF = 4
 PENDING_RETRANSMIT_S = 1.0
 # Lost answer pieces are asked for again after this time without progress; the time
 # doubles up to the limit, so that a busy balancer is not asked ever more often.
@@ -237,7 +240,8 @@
                 frame.token = self.token
                 await self.client.transport.send(wire.encode(frame))
                 pause = PENDING_RETRANSMIT_S if exchange.pending else 0.0
-                pause = max(pause, REQUEST_RETRANSMIT_S * min(2**frame.attempt, 4))
+                factor = min(2**frame.attempt, LARGEST_BACKOFF)
+                pause = max(pause, REQUEST_RETRANSMIT_S * factor)
                 retransmit_at = now + pause
             left_s = (frame.deadline_ms - now_ms()) / 1000
             await exchange.wait(max(0.0, min(retransmit_at - now, left_s)))
@@ -360,9 +364,10 @@
         try:
             while now_ms() < deadline_ms:
                 await self.transport.send(wire.encode(frame))
+                pause = OPEN_RETRANSMIT_S * min(2**frame.attempt, LARGEST_BACKOFF)
                 frame.attempt = min(frame.attempt + 1, MAX_ATTEMPT)
                 left_s = (deadline_ms - now_ms()) / 1000
-                await exchange.wait(max(0.0, min(OPEN_RETRANSMIT_S, left_s)))
+                await exchange.wait(max(0.0, min(pause, left_s)))
                 if isinstance(exchange.outcome, NotRun):
                     return result.Failure(exchange.outcome.reason)
                 if exchange.token != wire.EMPTY_TOKEN:
--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -67,3 +67,7 @@
     When eight balancers in three domains are soaked for 12 s with seed 11
     Then no invariant that is judged by counts is broken
     And at least 200 requests were answered
+
+  Scenario: Callers back off while nothing answers their opens
+    When a caller opens a flow for 6 s and nothing answers
+    Then it sent 9 copies and has no reply
--- a/features/steps/experiments_steps.py
+++ b/features/steps/experiments_steps.py
@@ -11,9 +11,9 @@
 import anyio
 import behave
 
-from basilgate import client, wire
+from basilgate import client, reasons, wire
 from lab import checker, cluster, faults, load, soak
-from standins import faultyhost
+from standins import faultyhost, virtualtime
 
 BEGAN = 1_000.0
 PIECE = bytes(wire.MAX_BODY_BYTES)
@@ -219,6 +219,26 @@
     context.pieces = pieces
 
 
+@behave.when("a caller opens a flow for {seconds:d} s and nothing answers")
+def open_unanswered(context, seconds):
+    """Let a caller try to open a flow on virtual time."""
+
+    async def run():
+        context.transport = LongAnswerTransport(1, 1.0)
+        async with client.Client(context.transport, seed=1) as caller:
+            found = await caller.open(1, client.now_ms() + seconds * 1_000)
+            context.refused = found.failure()
+
+    virtualtime.run(run)
+
+
+@behave.then("it sent {count:d} copies and has no reply")
+def check_copies(context, count):
+    """Check how often a caller adds to the load."""
+    assert context.refused is reasons.Reason.NO_REPLY
+    assert context.transport.sent == count, context.transport.sent
+
+
 @behave.then("the caller has the whole long answer")
 def check_long_answer(context):
     """Check the size of the answer."""
--- a/features/steps/reference_steps.py
+++ b/features/steps/reference_steps.py
@@ -119,7 +119,8 @@
     default = settings.LimitsSection()
     for phrase in (
         f"body of 0 to {wire.MAX_BODY_BYTES:,} bytes",
-        f"a pause of {client.OPEN_RETRANSMIT_S} s between copies",
+        f"after {client.OPEN_RETRANSMIT_S} s, {2 * client.OPEN_RETRANSMIT_S} s, "
+        f"and then every {client.LARGEST_BACKOFF * client.OPEN_RETRANSMIT_S} s",
         f"at most {default.max_deadline_s:.0f} s from now",
         f"after {client.REQUEST_RETRANSMIT_S} s, {2 * client.REQUEST_RETRANSMIT_S} s",
         f"wait at least {client.PENDING_RETRANSMIT_S:.0f} s between copies",
