--- a/basilgate/relay.py
+++ b/basilgate/relay.py
@@ -2,8 +2,10 @@
 
 In each failure domain the host that has run longest follows the store and is the source
 of the others, its clients, over TCP. A client that hears nothing for `BEAT_LIMIT_S`, or
-whose source has trouble with the store, follows the store itself. A host that starts
-while the store turns it away takes any host that has the documents for its source.
+whose source has trouble with the store, looks for another source or follows the store
+itself in its turn. A host that is behind a neighbour takes what that one knows. A host
+that starts while the store turns it away takes any host that has the documents for its
+source.
 """
 
 import collections.abc
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -14,7 +14,7 @@
 # A suspicion is tried again after this time, doubled for each failure in a row.
 SUSPECT_FIRST_S = 2.0  # Half of three heartbeats, after which the entry lapses.
 SUSPECT_LAST_S = 8.0  # A target that has come back is found within this time.
-PEER_REPORT_S = 0.6  # Three reports of a neighbour.
+PEER_REPORT_S = 0.6  # Four rounds of reports; a neighbour may skip some.
 # Below the time in which a healed link still excuses resets of flows that it carries.
 LOST_FOR_S = 1.5
 LOST_SUSPECT_S = 4.0  # Three heartbeats and a late watch, until its entry lapses.
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -63,6 +63,24 @@
     When 0.2 s pass
     Then new flows are reset
 
+  Scenario Outline: Entries that vanish alone are dead targets, and together the store's fault
+    Given a forwarder with 4 targets
+    When the entries of <gone> targets vanish
+    And 40 flows open
+    Then flows are at <used> targets
+
+    Examples:
+      | gone | used |
+      | 1    | 3    |
+      | 2    | 4    |
+      | 3    | 4    |
+
+  Scenario: A service of many targets uses all of them
+    Given a forwarder with 100 targets
+    When 400 flows open
+    Then flows are at 100 targets
+    And no target has more than twice its share
+
   Scenario: An entry that is back in time changes nothing
     Given a forwarder with 1 targets
     When the entry of that target vanishes
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -513,6 +513,27 @@
     assert context.fleet.view.drop_target("i-1", 20)
 
 
+@behave.when("the entries of {count:d} targets vanish")
+def vanish_some(context, count):
+    """Remove the entries of the first targets."""
+    for number in range(1, count + 1):
+        assert context.fleet.view.drop_target(f"i-{number:x}", 20)
+
+
+@behave.then("flows are at {count:d} targets")
+def check_spread(context, count):
+    """Check how many targets have flows."""
+    assert len(set(context.numbers)) == count, collections.Counter(context.numbers)
+
+
+@behave.then("no target has more than twice its share")
+def check_share(context):
+    """Check the target with most flows."""
+    counts = collections.Counter(context.numbers)
+    share = len(context.numbers) / len(counts)
+    assert max(counts.values()) <= 2 * share, counts
+
+
 @behave.when("the entry is back")
 def come_back(context):
     """List the target again."""
