Believe a silent trial only beside one that is answered

Change: a second target is tried at the same moment, one of the same failure domain that replied last if there is any. Without an answer from it silence proves nothing.

Test: "What a trial finds" with a control that answers, refuses, is silent, or is missing; before, a silent address was silent whatever else was.

--- a/basilgate/exchange.py
+++ b/basilgate/exchange.py
@@ -160,7 +160,7 @@
                 lost = token in report.lost
                 self.suspicions.note_peer_failure(target.name, lost, now)
                 if lost and self.has_flows(target, now):
-                    self.forwarder.trials.want(target, now)
+                    self.forwarder.try_target(target, now)
 
     def has_flows(self, target: fleetmodel.Target, now: float) -> bool:
         """Tell whether flows here may wait for a target that a neighbour lost."""
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -221,7 +221,22 @@
         if self.suspicions.note_failure(name, flow, evidence, since, now):
             entry = self.view.entries.get(name) or self.view.departed.get(name)
             if entry is not None:
-                self.trials.want(entry.target, now)
+                self.try_target(entry.target, now)
+
+    def try_target(self, target: fleetmodel.Target, now: float) -> None:
+        """Have a target tried beside the one that replied last, a near one first."""
+
+        def preference(other: fleetmodel.Target) -> tuple[bool, float]:
+            replied_at = self.suspicions.record(other.name).replied_at
+            return other.domain == target.domain, replied_at
+
+        others = [
+            entry.target
+            for entry in self.view.entries.values()
+            if entry.target.name != target.name
+            and not self.suspicions.is_suspect(entry.target.name, now)
+        ]
+        self.trials.want(target, max(others, key=preference, default=None), now)
 
     def take_verdict(
         self, tried: fleetmodel.Target, verdict: reachability.Verdict, began_at: float
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -264,11 +264,14 @@
     Then no target is tried
 
   Scenario Outline: What a trial finds
-    Given an address that <kind>
+    Given an address that <kind> beside a control that <control>
     Then a trial of it ends with <verdict>
 
     Examples:
-      | kind      | verdict |
-      | answers   | answers |
-      | refuses   | refuses |
-      | is silent | silent  |
+      | kind      | control    | verdict |
+      | answers   | is silent  | answers |
+      | refuses   | is silent  | refuses |
+      | is silent | answers    | silent  |
+      | is silent | is silent  | unknown |
+      | is silent | refuses    | silent  |
+      | is silent | is missing | unknown |
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -38,8 +38,9 @@
         super().__init__(log, counts)
         self.wanted = []
 
-    def want(self, target, now):
+    def want(self, target, control, now):
         """Note a wish."""
+        assert control is None or control.name != target.name
         self.wanted.append((target, now))
 
 
@@ -795,7 +796,7 @@
         verdicts = []
         rig.trials.report = lambda _, verdict, at: verdicts.append((verdict, at))
         rig.trials.places.acquire()
-        rig.trials.run(here, began_at)
+        rig.trials.run(here, None, began_at)
     ((verdict, at),) = verdicts
     rig.forwarder.take_verdict(tried, verdict, at)
 
@@ -820,28 +821,30 @@
     """Give an address that answers, refuses, or drops opening packets."""
     opened = [socket.socket(socket.AF_INET, socket.SOCK_STREAM)]
     opened[0].bind(("127.0.0.1", 0))
-    context.address = opened[0].getsockname()
     if kind != "refuses":
-        opened[0].listen(0)
+        opened[0].listen(0 if kind == "is silent" else 16)
     while kind == "is silent" and len(opened) < 8:
         # Connections that nobody accepts fill the queue.
         filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         filler.setblocking(False)
-        filler.connect_ex(context.address)
+        filler.connect_ex(opened[0].getsockname())
         opened.append(filler)
-    yield
+    yield opened[0].getsockname()
     for found in opened:
         found.close()
 
 
-@behave.given("an address that {kind}")
-def make_address(context, kind):
-    """Set up an address."""
-    behave.use_fixture(tcp_address, context, kind)
+@behave.given("an address that {kind} beside a control that {control}")
+def make_address(context, kind, control):
+    """Set up a pair of addresses."""
+    context.address = behave.use_fixture(tcp_address, context, kind)
+    context.control = None
+    if control != "is missing":
+        context.control = behave.use_fixture(tcp_address, context, control)
 
 
 @behave.then("a trial of it ends with {verdict}")
 def check_trial(context, verdict):
     """Try the address for real."""
-    found = reachability.try_address(context.address)
+    found = reachability.try_target(context.address, context.control)
     assert found is reachability.Verdict(verdict), found
