Ask for replies of near targets before a neighbour's proof resets flows

One repetition is enough only where a neighbour has a proof.

Change: with a neighbour's proof and one repetition most near targets must have replied again, as before; that other hosts are heard says nothing of the way out.

Test: "A neighbour's proof and one repetition show nothing on a link that is slow" fails before this change.

Not shown: which neighbour had the false proof.

--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -341,7 +341,7 @@
         if asked_at is None or self.suspicions.replied_since(target.name, asked_at):
             return False
         if flow.repeats and self.suspicions.is_lost_at_peer(target.name, now):
-            return self.is_heard(target, now) or self.links_work(target, now)
+            return self.links_work(target, now)
         if flow.repeats < SILENT_REPEATS or now - asked_at < LOST_S:
             return False
         alone = self.suspicions.evidence_count(target.name, now) < LOST_EVIDENCE
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -179,6 +179,13 @@
     And one flow repeats its request once without a reply
     Then both flows and an idle third one are reset
 
+  Scenario: A neighbour's proof and one repetition show nothing on a link that is slow
+    Given a forwarder with 3 targets and two flows at the first
+    When the hosts of its failure domain are heard
+    And a neighbour says that the first target is lost
+    And one flow repeats its request once without a reply
+    Then nothing is reset
+
   Scenario: A neighbour's proof counts for nothing against a target that replies
     Given a forwarder with 3 targets and two flows at the first, others busy
     When a neighbour says that the first target is lost
