Ask the store without waiting after a failure

Cause: since one kind asks alone while the store fails. Its next call was a watch of 20 s, so a store that was back was noticed only with the next change of the configuration, and targets were not followed until then (10.0 to 13.2 s in the logs of all hosts).

Change: after a failure the watch ends after 0.05 s, as when a host checks what it missed.

Test: the host of fleet_feed.feature now has the order of kinds that the program has; "is silent" failed before (target unknown after 20 s). The step that waits for calls that fail counts calls of all kinds, since only one kind makes them.

--- a/basilgate/following.py
+++ b/basilgate/following.py
@@ -118,8 +118,11 @@
                 self.connection, self.kind, READ_LIMIT_S, may_be_old=revision == 0
             )
         else:
-            wait_s = CHECK_WAIT_S if self.checking else WATCH_WAIT_S
-            slack_s = CHECK_SLACK_S if self.checking else WATCH_SLACK_S
+            # After a failure the other kinds wait for this answer, so it has to come
+            # without a change.
+            checking = self.checking or self.failures > 0
+            wait_s = CHECK_WAIT_S if checking else WATCH_WAIT_S
+            slack_s = CHECK_SLACK_S if checking else WATCH_SLACK_S
             found = store.watch_kind(
                 self.connection, self.kind, revision, wait_s, slack_s
             )
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -200,6 +200,7 @@
             Older(rank), self.documentcache, self.log, self.counts
         )
         self.connections = []
+        first = None
         for kind in appliers:
             connection = store.Connection(address)
             self.connections.append(connection)
@@ -210,7 +211,9 @@
                 relay_client,
                 self.log,
                 self.counts,
+                first,
             )
+            first = first or found
             threading.Thread(target=found.run, daemon=True).start()
 
 
@@ -269,9 +272,10 @@
         for connection in context.host.connections:
             connection.abort()
     if trouble.startswith("answers"):
-        calls = context.store.calls["GET servers"]
+        # One kind asks alone while the store fails.
+        calls = sum(context.store.calls.values())
         eventually(
-            lambda: context.store.calls["GET servers"] > calls + 1, "calls that fail"
+            lambda: sum(context.store.calls.values()) > calls + 3, "calls that fail"
         )
     with context.store.changed:
         context.store.put_quietly("servers", "i-000000bb", entry(8))
