Contain malformed messages, second copies of answers, and old documents

Entries with half a surrogate or a control character made whole listings unreadable. - A late second copy of the store's answer was taken for the answer to the next call: a read got the other target's entry, a command could miss a colleague's override. - Packets that waited in the socket's buffer when the drain ended were not forwarded. - After a restart the first listings could be old: a dropped route or a pulled target was in use until the next watch. A host was ready before it knew the overrides.

Change: errorguard; responses that do not decode are split without recursion; addresses and loads of reports are checked; connections with unread input are not used again, responses are checked for what they name, commands use a connection a call; the buffer is emptied at a stop; first listings of configuration and overrides are current, and readiness needs the overrides.

Ruled out: an old list of targets after a restart does no harm, since each datagram names its target. A late second copy of a watch's answer at the same revision changes nothing, since documents are merged by revision.

Tests: fleet_trust.feature and additions to fleet_feed.feature. The scenario about a target of another service keeps its checks; its title said that the program stops, which it no longer does.

--- a/basilgate/counters.py
+++ b/basilgate/counters.py
@@ -21,6 +21,7 @@
     "store_calls_total": "Calls to the store, by kind and outcome",
     "peer_messages_total": "Messages between balancers, by direction and kind",
     "peer_bytes_total": "Bytes between balancers, by direction and reach",
+    "unexpected_errors_total": "Unexpected errors, by activity",
     "unreadable_documents_total": "Documents of the store that cannot be read, by kind",
     "invariant_violations_total": "Broken invariants, by invariant",
     "config_version": "Version of the configuration in force",
--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -158,7 +158,7 @@
             host = subscription.host
             self.log.write("relay_client_connected", relay_client=host)
             self.send_changes(connection, self.changes_known_to(subscription))
-        except (OSError, msgspec.MsgspecError) as error:
+        except (OSError, *documents.DECODE_ERRORS) as error:
             self.log.write("relay_client_lost", relay_client=host, reason=str(error))
 
     def changes_known_to(self, subscription: Subscription) -> dict[str, int]:
@@ -320,7 +320,7 @@
             while self.choose_upstream() == ip:
                 self.apply_frame(FRAME_DECODER.decode(receive_message(connection)))
             self.log.write("relay_lost", relay_source=ip, reason="other_source")
-        except (OSError, msgspec.MsgspecError) as error:
+        except (OSError, *documents.DECODE_ERRORS) as error:
             self.log.write("relay_lost", relay_source=ip, reason=str(error))
         finally:
             self.fresh_until = 0.0
--- a/basilgate/fleetcmdline.py
+++ b/basilgate/fleetcmdline.py
@@ -31,7 +31,7 @@
     except documents.DocumentError as error:
         message = f"--store ADDRESS or {STORE_VARIABLE} is needed: {error}"
         raise errors.UsageError(message) from error
-    connection = fleetstore.Connection(store_address)
+    connection = fleetstore.Connection(store_address, reused=False)
     try:
         return cmdoptions.Shown(action(connection), output)
     finally:
--- a/basilgate/fleetmodel.py
+++ b/basilgate/fleetmodel.py
@@ -1,12 +1,26 @@
 """Types of the packet path: packets, routes, targets, overrides, and settings."""
 
 import collections.abc
+import socket
 
 import msgspec
 
 Address = tuple[str, int]  # IPv4 address as text, and port.
 
 
+def is_ipv4_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and nothing else.
+
+    Any other text would be resolved as a host name, which blocks, or raise an error
+    that is no `OSError`.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 class Packet(msgspec.Struct, gc=False):
     """One packet of a caller, with the header fields that decide how it is routed.
 
--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -76,16 +76,24 @@
         self.overrides: dict[str, fleetmodel.Override] = {}
         # Version of the configuration that removed a route, by key of the route.
         self.removed_routes: dict[bytes, int] = {}
-        # Whether a complete listing of the targets has been applied.
+        # Whether a complete listing of the targets, and of the overrides, was applied.
         self.targets_listed = False
+        self.overrides_listed = False
         # Targets that may get new flows, by service.
         self.candidate_cache: dict[str, list[TargetEntry]] = {}
         self.candidates_valid_until = 0.0
 
     @property
     def ready(self) -> bool:
-        """Whether a configuration and a complete list of targets were applied."""
-        return self.configuration is not None and self.targets_listed
+        """Whether a configuration and complete lists of the rest were applied.
+
+        Without the overrides, targets that an operator has pulled would get flows.
+        """
+        return (
+            self.configuration is not None
+            and self.targets_listed
+            and self.overrides_listed
+        )
 
     def apply_configuration(self, configuration: fleetmodel.Configuration) -> bool:
         """Put a configuration in force; return False if it is not newer."""
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -1,5 +1,6 @@
 """Program `basilgate-forwarder`: forwards callers' packets from a host to targets."""
 
+import collections.abc
 import os
 import random
 import signal
@@ -14,6 +15,7 @@
     counters,
     documentcache,
     documentrelay,
+    errorguard,
     eventlog,
     fleetmodel,
     fleetview,
@@ -39,13 +41,16 @@
 # Routers request readiness twice a second and stop sending after two failures; the rest
 # of the time is for packets in transit.
 MAX_DRAIN_S = 2.0
+# After that, packets that were received are forwarded for at most this time. Together
+# it is half of the usual 6 s until the platform kills the process.
+MAX_FLUSH_S = 1.0
 READY_PATH = "/v1/readiness"
 METRICS_PATH = "/metrics"
 METRICS_PORT = 9_464  # Common port of Prometheus exporters.
 # Shorter than `flowtable.SWEEP_INTERVAL_S` and `peerreports.PAUSE_LIMIT_S`, both 1 s.
 MAINTENANCE_INTERVAL_S = 0.5
+Loop = collections.abc.Callable[[], None]
 EXIT_USAGE = 2  # The settings are missing or invalid.
-EXIT_INTERNAL_ERROR = 70  # EX_SOFTWARE of sysexits.h.
 
 
 class ForwarderProcess:
@@ -53,7 +58,8 @@
 
     The main thread forwards packets. The others watch the store, exchange reports with
     peers, serve status pages, and do maintenance. `lock` guards the state that they
-    share. An exception in any thread ends the process.
+    share. An unexpected error ends the handling of one message, one connection, or one
+    turn of a loop; the process goes on.
 
     Parameters
     ----------
@@ -69,6 +75,7 @@
         self.settings_written_ns = settings_mtime_ns(settings_path)
         self.log = eventlog.EventLog(sys.stdout.fileno(), settings.name)
         self.counts = counters.Counters()
+        self.guard = errorguard.ErrorGuard(self.log, self.counts)
         self.view = fleetview.FleetView(
             self.log, self.counts, settings.flow_age_limit_s
         )
@@ -162,7 +169,7 @@
             )
 
     def forward_packets(self) -> None:
-        """Receive and forward packets until `stopped` is set."""
+        """Receive and forward packets until `stopped` is set, then those received."""
         while not self.stopped.is_set():
             try:
                 datagram = self.socket.recv(MAX_DATAGRAM_BYTES)
@@ -171,8 +178,29 @@
             except OSError as error:
                 self.log.write("receive_failed", error=str(error))
                 continue
+            self.forward(datagram)
+        self.forward_queued_packets()
+
+    def forward(self, datagram: bytes) -> None:
+        """Forward one packet; an unexpected error drops it alone."""
+        try:
             with self.lock:
                 self.forwarder.handle(datagram)
+        except Exception as error:
+            self.counts.add("dropped_packets_total", reason="unexpected_error")
+            self.guard.record("packet", error)
+
+    def forward_queued_packets(self) -> None:
+        """Forward the packets that wait in the socket's buffer, before the end."""
+        deadline = clock.steady_s() + MAX_FLUSH_S
+        self.socket.settimeout(0)
+        while clock.steady_s() < deadline:
+            try:
+                datagram = self.socket.recv(MAX_DATAGRAM_BYTES)
+            except OSError:
+                # Also raised if no packet is left.
+                return
+            self.forward(datagram)
 
     def handle_probe_result(
         self,
@@ -270,23 +298,6 @@
         self.settings = self.peers.settings = loaded
         self.log.write("settings_reloaded", changed=changed)
 
-    def exit_on_thread_failure(self, failure: threading.ExceptHookArgs) -> None:
-        """Log an exception that ended a thread, and exit.
-
-        Without one of its threads a host would seem to work while it does not.
-        """
-        # Imported here because the import takes a tenth of the start time.
-        import traceback
-
-        trace = "".join(
-            traceback.format_exception(
-                failure.exc_type, failure.exc_value, failure.exc_traceback
-            )
-        )
-        name = failure.thread.name if failure.thread is not None else "unknown"
-        self.log.write("thread_failed", thread=name, exception=trace)
-        os._exit(EXIT_INTERNAL_ERROR)
-
     def run(self) -> None:
         """Start all threads and forward packets until SIGTERM.
 
@@ -295,46 +306,60 @@
         OSError
             If an address cannot be bound, other than that of the metrics page.
         """
-        settings = self.settings
-        threading.excepthook = self.exit_on_thread_failure
-        self.log.write("started", domain=settings.domain, pid=os.getpid())
+        threading.excepthook = self.guard.record_thread_failure
+        self.log.write("started", domain=self.settings.domain, pid=os.getpid())
         signal.signal(signal.SIGTERM, self.handle_signal)
         signal.signal(signal.SIGHUP, self.handle_signal)
-        self.socket.bind(settings.listen)
-        thread_functions = [watcher.run for watcher in self.watchers]
-        thread_functions += [
-            self.maintain,
-            self.relay_client.run,
-            self.reports.receive_reports,
-            self.reports.send_reports,
-        ]
+        self.socket.bind(self.settings.listen)
+        loops: dict[str, Loop] = {
+            f"watch_{watcher.kind}": watcher.run for watcher in self.watchers
+        }
+        loops["maintenance"] = self.maintain
+        loops["relay"] = self.relay_client.run
+        loops["reports_in"] = self.reports.receive_reports
+        loops["reports_out"] = self.reports.send_reports
+        for listener in self.open_listeners():
+            loops[f"listen_{listener.name}"] = listener.run
+        for activity, loop in loops.items():
+            threading.Thread(
+                target=self.guard.run_loop, args=(activity, loop), daemon=True
+            ).start()
+        self.forward_packets()
+        self.log.write("stopped", forwarded=self.counts.total("packets_total"))
+
+    def open_listeners(self) -> list[tcplistener.Listener]:
+        """Return the listeners for readiness, relayed documents, and metrics.
+
+        Raises
+        ------
+        OSError
+            If an address cannot be bound, other than that of the metrics page.
+        """
+        settings = self.settings
         relay_server = documentrelay.RelayServer(
             self.cache, self.reports.watches_store, self.log, self.counts
         )
         readiness = statuspages.PageServer(READY_PATH, self.readiness_page)
         peer_address = (settings.own_ip, self.peers.port)
-        for address, name, serve in (
-            (settings.readiness, "readiness", readiness.serve),
-            (peer_address, "relay", relay_server.serve),
-        ):
-            thread_functions.append(
-                tcplistener.Listener(address, name, serve, self.log).run
-            )
+        listeners = [
+            tcplistener.Listener(
+                settings.readiness, "readiness", readiness.serve, self.log
+            ),
+            tcplistener.Listener(peer_address, "relay", relay_server.serve, self.log),
+        ]
         metrics_server = statuspages.PageServer(METRICS_PATH, self.metrics_page)
         metrics_address = (settings.own_ip, METRICS_PORT)
         try:
-            listener = tcplistener.Listener(
-                metrics_address, "metrics", metrics_server.serve, self.log
+            listeners.append(
+                tcplistener.Listener(
+                    metrics_address, "metrics", metrics_server.serve, self.log
+                )
             )
-            thread_functions.append(listener.run)
         except OSError as error:
             # Another program of the deployment may use the port. Forwarding does not
             # need the metrics page.
             self.log.write("metrics_unavailable", error=str(error))
-        for thread_function in thread_functions:
-            threading.Thread(target=thread_function, daemon=True).start()
-        self.forward_packets()
-        self.log.write("stopped", forwarded=self.counts.total("packets_total"))
+        return listeners
 
 
 def settings_mtime_ns(path: str) -> int:
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from basilgate import counters, eventlog, fleetmodel
+from platformedge import documents
 
 REPORT_INTERVAL_S = 0.15  # Shorter than a caller's first retransmission delay.
 # Three report intervals, so that one lost datagram does not count as silence.
@@ -39,6 +40,7 @@
 MAX_PEER_ADDRESSES = 8  # Addresses of other peers in one report.
 PEER_ADDRESS_INTERVALS = 5  # Intervals between two reports with these addresses.
 RECEIVE_BYTES = 8_192  # Enough for a report with the loads of about 500 targets.
+MAX_RUNNING = 1e6  # Running requests at a target in a report; more are malformed.
 
 
 class Report(msgspec.Struct, array_like=True):
@@ -69,6 +71,23 @@
 DECODER = msgspec.msgpack.Decoder(Report)
 
 
+def decode_report(datagram: bytes) -> Report | None:
+    """Return the report in a datagram, None if it is malformed.
+
+    A report is malformed if it does not decode, an address is none, or a load is no
+    number that may be added to others.
+    """
+    try:
+        report = DECODER.decode(datagram)
+    except documents.DECODE_ERRORS:
+        return None
+    valid = all(
+        flows >= 0 and 0 <= running <= MAX_RUNNING
+        for flows, running in report.loads.values()
+    ) and all(map(fleetmodel.is_ipv4_address, report.neighbours))
+    return report if valid else None
+
+
 class Peer(msgspec.Struct):
     """A host whose address is known, with its last report; None before the first.
 
@@ -130,9 +149,8 @@
         except OSError as error:
             self.log.write("report_not_received", error=str(error))
             return None
-        try:
-            report = DECODER.decode(datagram)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        report = decode_report(datagram)
+        if report is None:
             self.counts.add("peer_messages_total", direction="in", kind="malformed")
             return None
         if report.ip != ip or ip == self.settings.own_ip:
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -124,11 +124,14 @@
         revision = self.cache.revision(self.kind)
         complete = revision == 0 or self.history_gone
         if complete:
-            # The first listing may be stale: a watch from its revision, or the
-            # upstream, supplies later changes. After HISTORY_GONE the changes
-            # since a stale revision may be lost, so the listing has to be current.
+            # The first listing of targets may be stale: a watch from its revision, or
+            # the upstream, supplies later changes, and nothing runs at a target that
+            # has left, since each datagram names its target. What operators have
+            # withdrawn must not come back with a restart. After HISTORY_GONE the
+            # changes since a stale revision may be lost.
+            allow_stale = revision == 0 and self.kind == documents.TARGETS_KIND
             result = store.list_kind(
-                self.connection, self.kind, LISTING_TIMEOUT_S, allow_stale=revision == 0
+                self.connection, self.kind, LISTING_TIMEOUT_S, allow_stale
             )
         else:
             # After a failure the watchers of the other kinds wait until this call
@@ -265,6 +268,7 @@
             listed_names = {document.name for document in by_revision}
             for name in [n for n in self.view.overrides if n not in listed_names]:
                 self.view.remove_override(name)
+            self.view.overrides_listed = True
         for document in by_revision:
             if not document.content:
                 self.view.remove_override(document.name)
--- a/features/fleet_feed.feature
+++ b/features/fleet_feed.feature
@@ -22,13 +22,22 @@
       | whose name has no digits     |
       | that is a list               |
       | with a host name as address  |
+      | with an address and more     |
+      | that is nested too deep      |
+      | with half a character        |
+      | with a control character     |
 
-  Scenario: An entry that becomes unreadable names no target any more
+  Scenario Outline: An entry that becomes unreadable names no target any more
     Given a store with 2 targets
     When a host follows the store
-    And the first target's entry becomes unreadable
+    And the first target's entry becomes <what>
     Then it knows 1 targets
 
+    Examples:
+      | what             |
+      | unreadable       |
+      | nested too deep  |
+
   Scenario Outline: Changes during a trouble of the store arrive after it
     Given a store with 2 targets
     When a host follows the store
@@ -210,3 +219,19 @@
     When all hosts have the documents
     And the second host is suspended for 2 s while configuration 9 is written
     Then the second host notes the pause, and configuration 9 is in force on it
+
+  Scenario: What an operator withdrew does not come back with a restart
+    Given a store with 2 targets
+    And the store's listings that may be old stay as they are now
+    And configuration 9 comes and an override pulls the first target
+    And the store answers no watches
+    When a host follows the store
+    Then configuration 9 and the override are in force as soon as it is ready
+
+  Scenario: A host that has not read the overrides is not ready
+    Given a store with 2 targets
+    And the store refuses to list overrides
+    When a host follows the store for 1 s
+    Then it has the targets and the configuration and is not ready
+    When the store lists overrides again
+    Then the host becomes ready
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -231,7 +231,7 @@
     And the far target replies
     Then the host is stranded: no
 
-  Scenario: A target of another service stops the program
+  Scenario: A target of another service gets no packet
     Given a forwarder with 1 targets
     When the choice of a target returns one of another service
     Then the invariant target_serves_route is broken, counted, and nothing was sent
--- a/features/steps/fleet_commands_steps.py
+++ b/features/steps/fleet_commands_steps.py
@@ -3,13 +3,12 @@
 import contextlib
 import io
 import json
-import threading
 
 import behave
-from fleet_feed_steps import Older, eventually, follow
+from fleet_feed_steps import eventually, follow
 
-from basilgate import cmdline, documentrelay, outcomes, storewatch
-from platformedge import documents, store
+from basilgate import cmdline, outcomes
+from platformedge import documents
 
 
 def call(context, *arguments):
@@ -45,17 +44,6 @@
 def follow_with_overrides(context):
     """Follow all kinds in this process."""
     follow(context)
-    host = context.host
-    feed = storewatch.ViewUpdater(host.view, host.log, host.counts)
-    kind = documents.OVERRIDES_KIND
-    apply = feed.apply_overrides
-    held = type(host.cache)({kind: apply}, threading.Lock())
-    relay_client = documentrelay.RelayClient(Older(), held, host.log, host.counts)
-    connection = store.Connection(context.address)
-    watcher = storewatch.KindWatcher(
-        kind, connection, held, relay_client, host.log, host.counts
-    )
-    threading.Thread(target=watcher.run, daemon=True).start()
 
 
 @behave.when("an operator sets {what} on {target}")
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -153,12 +153,18 @@
     assert 0 < context.calls_each * hosts < rate, context.calls_each
 
 
+# Valid JSON that no decoder with a stack of its own takes.
+TOO_DEEP = fleetstore.RawJson(b"[" * 100_000 + b"]" * 100_000)
 ENTRIES = {
     "without an address": ("i-000000aa", {"service": "desk", "slots": 3}),
     "with text for the slots": ("i-000000aa", entry(9, slots="three")),
     "with an unknown state": ("i-000000aa", entry(9, state="resting")),
     "whose name has no digits": ("i-xyz", entry(9)),
     "that is a list": ("i-000000aa", ["ready"]),
+    "that is nested too deep": ("i-000000aa", TOO_DEEP),
+    "with half a character": ("i-000000aa", fleetstore.RawJson(b'["\\ud800"]')),
+    "with a control character": ("i-000000aa", fleetstore.RawJson(b'["\x01"]')),
+    "with an address and more": ("i-000000aa", entry(9, address="10.1.0.9 x:80")),
     "with a host name as address": ("i-000000aa", entry(9, address="target:80")),
 }
 
@@ -194,6 +200,7 @@
         appliers = {
             documents.CONFIG_KIND: feed.apply_configuration,
             documents.TARGETS_KIND: feed.apply_targets,
+            documents.OVERRIDES_KIND: feed.apply_overrides,
         }
         self.cache = documentcache.DocumentCache(appliers, threading.Lock())
         relay_client = documentrelay.RelayClient(
@@ -230,7 +237,12 @@
     """Follow the store in this process."""
     behave.use_fixture(quiet_log, context)
     context.host = Host(context.address, context.null)
-    eventually(lambda: context.host.view.ready, "the host is ready")
+    view = context.host.view
+    eventually(lambda: view.ready, "the host is ready")
+    context.first_ready = {
+        "version": view.configuration.version,
+        "candidates": [found.target.name for found in view.candidates("desk")],
+    }
 
 
 @behave.then("it knows {count:d} targets")
@@ -246,10 +258,11 @@
     assert context.host.counts.total("unreadable_documents_total") == 1
 
 
-@behave.when("the first target's entry becomes unreadable")
-def spoil(context):
+@behave.when("the first target's entry becomes {what}")
+def spoil(context, what):
     """Replace an entry by something else."""
-    context.store.put("servers", "i-00000001", "nonsense")
+    spec = {"unreadable": "nonsense", "nested too deep": TOO_DEEP}[what]
+    context.store.put("servers", "i-00000001", spec)
 
 
 def end_trouble(context, trouble):
@@ -797,3 +810,59 @@
     """Write a configuration and wait for it on the other hosts."""
     context.store.put("config", "main", configuration(9))
     eventually(lambda: all(h.version() == 9 for h in context.hosts[1:]), "version 9")
+
+
+@behave.given("configuration 9 comes and an override pulls the first target")
+def withdraw(context):
+    """Change what operators write."""
+    context.store.put("config", "main", configuration(9))
+    pulled = {"kind": "pull", "service": "desk", "target": "i-00000001"}
+    context.store.put("basilgate-overrides", "i-00000001", pulled)
+
+
+@behave.given("the store answers no watches")
+def refuse_watches(context):
+    """Refuse watches only."""
+    context.store.faults.refused = "watch="
+
+
+@behave.given("the store refuses to list overrides")
+def refuse_overrides(context):
+    """Refuse one kind only."""
+    context.store.faults.refused = "basilgate-overrides"
+
+
+@behave.when("the store lists overrides again")
+def accept_overrides(context):
+    """Refuse nothing any more."""
+    context.store.faults.refused = ""
+
+
+@behave.then("configuration 9 and the override are in force as soon as it is ready")
+def check_withdrawn(context):
+    """Check what the host does in the first moment in which it is ready."""
+    view = context.first_ready
+    assert view["version"] == 9, view
+    assert view["candidates"] == ["i-00000002"], view
+
+
+@behave.when("a host follows the store for {seconds:g} s")
+def follow_for(context, seconds):
+    """Follow the store without waiting for readiness."""
+    behave.use_fixture(quiet_log, context)
+    context.host = Host(context.address, context.null)
+    eventually(lambda: context.host.view.targets_listed, "the targets are listed")
+    time.sleep(seconds)
+
+
+@behave.then("it has the targets and the configuration and is not ready")
+def check_not_ready_yet(context):
+    """Check what it knows."""
+    view = context.host.view
+    assert view.targets_listed and view.configuration is not None and not view.ready
+
+
+@behave.then("the host becomes ready")
+def check_ready(context):
+    """Wait for readiness."""
+    eventually(lambda: context.host.view.ready, "the host is ready")
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -167,6 +167,7 @@
     context.fleet.view.apply_configuration(configuration(version, *routes))
     listed = {found.name: (found, 10) for found in targets}
     context.fleet.view.replace_targets(listed, 10)
+    context.fleet.view.overrides_listed = True
     context.ports = iter(range(2_000, 60_000))
     return context.fleet
 
--- a/lab/fleetpath.py
+++ b/lab/fleetpath.py
@@ -71,7 +71,7 @@
                 f"i-{number:x}", number, number, "desk", sink, "d1", 3, False, 0.0, 1
             )
             self.view.apply_target(found, number)
-        self.view.targets_listed = True
+        self.view.targets_listed = self.view.overrides_listed = True
         self.port = 0
 
     def send(self, datagram: bytes, address: fleetmodel.Address) -> None:
--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -2,7 +2,9 @@
 
 import collections
 import collections.abc
+import contextlib
 import copy
+import dataclasses
 import http.server
 import json
 import threading
@@ -79,6 +81,27 @@
 """
 
 
+@dataclasses.dataclass(frozen=True)
+class RawJson:
+    """Content that is sent as it is, such as JSON that no client can read."""
+
+    content: bytes
+
+
+def encode(found: Json) -> bytes:
+    """Return a body as JSON, with each `RawJson` in it as it is."""
+    raws: list[bytes] = []
+
+    def place(value: typing.Any) -> str:
+        raws.append(value.content)
+        return f"raw-json-{len(raws) - 1}"
+
+    body = json.dumps(found, default=place).encode()
+    for position, content in enumerate(raws):
+        body = body.replace(f'"raw-json-{position}"'.encode(), content, 1)
+    return body
+
+
 class Faults:
     """What goes wrong.
 
@@ -86,6 +109,8 @@
     ----------
     status : int
         Every call is answered with this status, 0 for none.
+    refused : str
+        Calls whose path contains this are answered with 503; empty for none.
     silent : bool
         No call is answered.
     lose_answers : int
@@ -96,15 +121,19 @@
         State from which listings that may be old are answered.
     after_page : callable or None
         Called once a page of a listing that goes on was read.
+    repeat_after_s : float
+        Each answer is sent a second time after this delay; 0 for no second time.
     """
 
     def __init__(self) -> None:
         self.status = 0
+        self.refused = ""
         self.silent = False
         self.lose_answers = 0
         self.delay_s = 0.0
         self.old: FleetStore | None = None
         self.after_page: collections.abc.Callable[[], None] | None = None
+        self.repeat_after_s = 0.0
 
 
 class FleetStore:
@@ -217,6 +246,9 @@
         time.sleep(faults.delay_s)
         while faults.silent:
             time.sleep(0.01)
+        if faults.refused and faults.refused in self.path:
+            self.answer(503, {})
+            return
         if faults.status:
             self.answer(faults.status, {})
             return
@@ -265,12 +297,21 @@
 
     def answer(self, status: int, found: Json) -> None:
         """Send an answer."""
-        body = json.dumps(found).encode()
-        self.send_response(status)
-        self.send_header("Content-Type", "application/json")
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
+        body = encode(found)
+        head = f"HTTP/1.1 {status} answer\r\nContent-Type: application/json\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        self.wfile.write(head.encode() + body)
+        if self.faults.repeat_after_s:
+            timer = threading.Timer(
+                self.faults.repeat_after_s, self.repeat, (head.encode() + body,)
+            )
+            timer.daemon = True
+            timer.start()
+
+    def repeat(self, sent: bytes) -> None:
+        """Send an answer again, unless its connection has ended."""
+        with contextlib.suppress(OSError, ValueError):
+            self.wfile.write(sent)
 
     def log_message(self, format: str, *args: typing.Any) -> None:  # noqa: A002
         """Write no access log."""
