Refuse content that the balancer's decoders cannot use

Cause: the operators' report of one malformed message that took a process down, tried on the balancer. Deep nesting raises RecursionError, which no decoder caught, in the platform's answers, in objects of peers, and in the check of an object's content. A target that reports 1e999 busy slots raised OverflowError in the probe's task, which ends the process.

Change: RecursionError is refused like other malformed content; a load is a finite number of slots within a bound, or none.

Test: "Content that cannot be used is refused and raises nothing" in hardening.feature. On the code before all seven rows raised an error; those of the load because the decision was no function of its own yet, and int() of such a value raises OverflowError.

--- a/basilgate/controlmessages.py
+++ b/basilgate/controlmessages.py
@@ -309,12 +309,12 @@
 
 
 def from_thrift(part: typing.Any) -> storedobjects.StoredObject | None:
-    """Convert the Thrift structure to an object, None if its JSON is malformed."""
+    """Convert the Thrift structure to an object, None if its JSON is not usable."""
     if part.removed:
         return storedobjects.StoredObject(part.name, part.version, part.revision, None)
     try:
         value = json.loads(part.value)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     if not isinstance(value, dict):
         return None
--- a/basilgate/platformapi.py
+++ b/basilgate/platformapi.py
@@ -371,7 +371,7 @@
     """Return the JSON object in a response, or the problem that its status means."""
     try:
         body = response.json()
-    except ValueError:
+    except (ValueError, RecursionError):
         body = {}
     if not isinstance(body, dict):
         body = {}
@@ -405,7 +405,7 @@
     def parse_or_problem(body: dict[str, typing.Any]) -> result.Result[Parsed, Problem]:
         try:
             return result.Success(parse(body))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, RecursionError) as error:
             return result.Failure(Problem(ProblemKind.INVALID, repr(error)))
 
     return parse_or_problem
--- a/basilgate/probing.py
+++ b/basilgate/probing.py
@@ -1,5 +1,6 @@
 """Probes of the targets' health and load endpoints, and detection of frozen targets."""
 
+import contextlib
 import random
 
 import anyio
@@ -25,6 +26,7 @@
 # Usual time that is assumed for work of which none has ended yet. With FROZEN_RATIO, a
 # slow first request, which takes some seconds, does not make its target look frozen.
 DEFAULT_SERVICE_TIME_S = 1.0
+MAX_BUSY_SLOTS = 1_000_000  # A report of more busy slots counts as none.
 
 
 def is_frozen(owner: targetowner.TargetOwner, now: float) -> bool:
@@ -135,9 +137,19 @@
 
     async def read_load(self, owner: targetowner.TargetOwner, url: str) -> None:
         """Record the busy slots that a target reports, 0 without a valid report."""
-        busy_slots = 0
-        try:
-            busy_slots = int((await self.client.get(url + "/load")).json()["busy"])
-        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+        busy_slots = None
+        with contextlib.suppress(httpx.HTTPError):
+            busy_slots = parse_load(await self.client.get(url + "/load"))
+        if busy_slots is None:
+            busy_slots = 0
             metrics.PROBES_FAILED.inc({"endpoint": "load"})
         owner.monitor.on_load(busy_slots, len(owner.running))
+
+
+def parse_load(answer: httpx.Response) -> int | None:
+    """Return the number of busy slots in a target's answer, None if it has none."""
+    try:
+        busy_slots = float(answer.json()["busy"])
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
+        return None
+    return int(busy_slots) if 0 <= busy_slots <= MAX_BUSY_SLOTS else None
--- a/basilgate/storedobjects.py
+++ b/basilgate/storedobjects.py
@@ -336,12 +336,14 @@
     model = model_for(name)
     if model is None:
         return result.Failure(f"{name}: unknown kind of object")
-    content_problem = check_content(name, value)
-    if content_problem is not None:
-        return result.Failure(content_problem)
     try:
+        content_problem = check_content(name, value)
+        if content_problem is not None:
+            return result.Failure(content_problem)
         return result.Success(model.model_validate(value))
     except pydantic.ValidationError as error:
         problem = error.errors()[0]
         field = ".".join(str(step) for step in problem["loc"])
         return result.Failure(f"{name}: {field}: {problem['msg']}")
+    except RecursionError:
+        return result.Failure(f"{name}: nested too deep")
--- a/features/hardening.feature
+++ b/features/hardening.feature
@@ -120,3 +120,17 @@
       | was removed from its view | 503   | member     |
       | has lost its keys        | 503    | configured |
       | had a slow event loop    | 503    | loop_alive |
+
+  Scenario Outline: Content that cannot be used is refused and raises nothing
+    When <content> reaches the hardened decoder of <place>
+    Then the hardened decoder refuses it
+
+    Examples:
+      | content                | place                |
+      | JSON nested too deep   | a platform's answer  |
+      | JSON nested too deep   | a peer's object      |
+      | a value nested deep    | an object            |
+      | JSON nested too deep   | a target's load      |
+      | a load without bound   | a target's load      |
+      | a load of 400 digits   | a target's load      |
+      | a negative load        | a target's load      |
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -22,6 +22,7 @@
     membership,
     metrics,
     platformapi,
+    probing,
     reasons,
     requestrecords,
     settings,
@@ -655,3 +656,40 @@
     assert context.answer.status_code == status, answer
     expected = [] if check == "nothing" else ["healthy", check]
     assert failed == expected, answer
+
+
+DEEP_JSON = b'{"value": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+CONTENTS = {
+    "JSON nested too deep": DEEP_JSON,
+    "a load without bound": b'{"busy": 1e999}',
+    "a load of 400 digits": b'{"busy": ' + b"9" * 400 + b"}",
+    "a negative load": b'{"busy": -1}',
+}
+
+
+@behave.when("{content} reaches the hardened decoder of {place}")
+def decode_unusable(context, content, place):
+    """Decode content that cannot be used; none of the decoders may raise an error."""
+    if place == "an object":
+        value = []
+        for _ in range(100_000):
+            value = [value]
+        decoded = storedobjects.parse("sheet", {"parts": value})
+        context.refused = isinstance(decoded, result.Failure)
+        return
+    body = CONTENTS[content]
+    answer = httpx.Response(200, content=body)
+    if place == "a platform's answer":
+        decoded = platformapi.decode_response(answer)
+        context.refused = decoded == result.Success({})
+    elif place == "a peer's object":
+        part = ttypes.StoredObject("sheet", 1, 1, body.decode(), False)
+        context.refused = controlmessages.from_thrift(part) is None
+    else:
+        context.refused = probing.parse_load(answer) is None
+
+
+@behave.then("the hardened decoder refuses it")
+def check_refused(context):
+    """Check the result."""
+    assert context.refused
