Encode a relayed change once, and judge silent domains in constant time

Cause, from reading the code for a failure domain of 40 hosts and more: the host that follows the store compressed each change again for each downstream, with the processor of a host of 0.163 of a core, and computed the digest of all documents for each connection.

Change: a message is kept for the downstreams that lack the same changes; a digest is kept until the next change; the time of the last reply is kept for each failure domain.

Tests: "A change is encoded once for all clients", "A silent failure domain of many targets costs little".

--- a/basilgate/counters.py
+++ b/basilgate/counters.py
@@ -15,6 +15,7 @@
     "packets_total": "Packets received, by outcome",
     "dropped_packets_total": "Packets dropped, by reason",
     "openings_total": "Opening packets forwarded, by service and copy",
+    "relay_encodings_total": "Changes encoded for downstreams, by kind",
     "resets_total": "Resets sent, by reason",
     "suspicions_total": "Targets suspected, by evidence",
     "target_trials_total": "Trial connections to targets, by verdict",
--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -21,7 +21,8 @@
     is the store's revision up to which the kind is known, 0 before the first listing;
     `newest` is the revision of the latest change among the documents. `changes` counts
     the listings applied here, and `changed_at` holds that count, not a time, at the
-    last change of each document.
+    last change of each document. `digest` is the checksum at the change count
+    `digest_changes`.
     """
 
     documents: dict[str, documents.StoredDocument]
@@ -30,6 +31,8 @@
     newest: int = 0
     changes: int = 0
     changed_at: dict[str, int] = msgspec.field(default_factory=dict)
+    digest: int = 0
+    digest_changes: int = 0
 
 
 class DocumentCache:
@@ -71,12 +74,13 @@
         The caller holds the lock.
         """
         cached = self.kinds[kind]
-        if not cached.changes:
-            return 0
-        listed = sorted(
-            (d.name, d.revision) for d in cached.documents.values() if d.content
-        )
-        return zlib.crc32(repr(listed).encode()) or 1
+        if cached.digest_changes != cached.changes:
+            listed = sorted(
+                (d.name, d.revision) for d in cached.documents.values() if d.content
+            )
+            cached.digest = zlib.crc32(repr(listed).encode()) or 1
+            cached.digest_changes = cached.changes
+        return cached.digest
 
     def update(self, kind: str, listing: store.Listing, complete: bool) -> None:
         """Store and apply documents, except those cached at a later revision.
--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -11,6 +11,7 @@
 import collections.abc
 import socket
 import struct
+import threading
 import time
 import zlib
 
@@ -35,6 +36,9 @@
 # Time to fetch newer documents from a peer: until the previous upstream's next
 # heartbeat, a search interval, a connection, and a large configuration at 10 Mbit/s.
 CATCH_UP_TIMEOUT_S = 1.0
+# Encoded messages kept for other downstreams. After a change there is one for each
+# kind, and some for downstreams that are a change behind.
+MAX_ENCODED_MESSAGES = 8
 SEND_TIMEOUT_S = 2.0  # A downstream that reads nothing for so long is dropped.
 
 
@@ -68,13 +72,17 @@
 WatchesStore = collections.abc.Callable[[], bool]
 
 
+def encode_message(message: Subscription | DocumentFrame) -> bytes:
+    """Return one compressed message with its length before it."""
+    body = zlib.compress(ENCODER.encode(message), COMPRESSION_LEVEL)
+    return LENGTH_PREFIX.pack(len(body)) + body
+
+
 def send_message(
     connection: socket.socket, message: Subscription | DocumentFrame
-) -> int:
-    """Send one compressed message with its length; return the bytes sent."""
-    body = zlib.compress(ENCODER.encode(message), COMPRESSION_LEVEL)
-    connection.sendall(LENGTH_PREFIX.pack(len(body)) + body)
-    return len(body) + LENGTH_PREFIX.size
+) -> None:
+    """Send one compressed message with its length."""
+    connection.sendall(encode_message(message))
 
 
 def receive_exactly(connection: socket.socket, count: int) -> bytes:
@@ -119,10 +127,17 @@
     return body
 
 
+# Kind, change counts before and after a message, and whether this host watches the
+# store: downstreams for which these are the same get the same bytes.
+MessageKey = tuple[str, int, int, bool]
+
+
 class RelayServer:
     """Sends the cached documents and their changes to downstreams.
 
-    `serve` runs in one thread for each connection and takes the cache's lock.
+    `serve` runs in one thread for each connection and takes the cache's lock. A change
+    is encoded and compressed once for all downstreams that lack it, since a small host
+    would need seconds to do so for each host of a large failure domain.
 
     Parameters
     ----------
@@ -148,6 +163,10 @@
         self.watches_store = watches_store
         self.log = log
         self.counts = counts
+        # The latest encoded messages, the oldest first, and the lock that guards them
+        # and lets one thread encode while the others wait for its result.
+        self.encoded: dict[MessageKey, bytes] = {}
+        self.encoding = threading.Lock()
 
     def serve(self, connection: socket.socket) -> None:
         """Send one downstream the documents that it lacks, and then each change."""
@@ -183,14 +202,14 @@
         `sent_counts` holds the change count up to which each kind was sent.
         """
         while True:
-            frames = self.frames_after(sent_counts)
-            if not frames:
-                frames = [DocumentFrame("", 0, False, [], self.watches_store())]
-            for frame in frames:
-                size = send_message(connection, frame)
-                kind = frame.kind or "beat"
+            messages = self.messages_after(sent_counts)
+            if not messages:
+                heartbeat = DocumentFrame("", 0, False, [], self.watches_store())
+                messages = [("beat", encode_message(heartbeat))]
+            for kind, message in messages:
+                connection.sendall(message)
                 self.counts.add("peer_messages_total", direction="out", kind=kind)
-                self.counts.add("peer_bytes_total", size, direction="out")
+                self.counts.add("peer_bytes_total", len(message), direction="out")
             with self.cache.changed:
                 if not self.has_changes(sent_counts):
                     self.cache.changed.wait(HEARTBEAT_INTERVAL_S)
@@ -200,22 +219,40 @@
         changes = self.cache.changes()
         return any(changes[kind] > sent_counts.get(kind, 0) for kind in changes)
 
-    def frames_after(self, sent_counts: dict[str, int]) -> list[DocumentFrame]:
-        """Return frames with the unsent changes, and update `sent_counts`."""
-        frames = []
-        with self.cache.changed:
-            for kind, changes in self.cache.changes().items():
-                unsent = self.cache.changes_after(kind, sent_counts.get(kind, 0))
-                if unsent is None:
-                    continue
+    def messages_after(self, sent_counts: dict[str, int]) -> list[tuple[str, bytes]]:
+        """Return kinds and messages with unsent changes, and update `sent_counts`."""
+        messages = []
+        for kind in self.cache.kinds:
+            message = self.message_after(kind, sent_counts)
+            if message is not None:
+                messages.append((kind, message))
+        return messages
+
+    def message_after(self, kind: str, sent_counts: dict[str, int]) -> bytes | None:
+        """Return the message with the unsent changes of a kind, None without any."""
+        sent_count = sent_counts.get(kind, 0)
+        reads = self.watches_store()
+        with self.encoding:
+            with self.cache.changed:
+                changes = self.cache.changes()[kind]
+                key = (kind, sent_count, changes, reads)
+                message = self.encoded.get(key)
+                unsent = (
+                    self.cache.changes_after(kind, sent_count)
+                    if message is None
+                    else None
+                )
+            if unsent is not None:
                 listing, complete = unsent
                 rows = [(d.name, d.revision, d.content) for d in listing.documents]
-                reads = self.watches_store()
-                frames.append(
+                message = self.encoded[key] = encode_message(
                     DocumentFrame(kind, listing.revision, complete, rows, reads)
                 )
-                sent_counts[kind] = changes
-        return frames
+                self.counts.add("relay_encodings_total", kind=kind)
+                while len(self.encoded) > MAX_ENCODED_MESSAGES:
+                    del self.encoded[next(iter(self.encoded))]
+        sent_counts[kind] = changes
+        return message
 
 
 class RelayClient:
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -342,7 +342,7 @@
             return
         now = clock.steady_s()
         flow = self.flows.record_packet(packet.flow, target.name, now)
-        self.track_progress(packet, flow, now)
+        self.track_progress(packet, flow, target.domain, now)
         if self.confirms_unreachable(flow, target, now):
             self.suspicions.mark_unreachable(target.name, "packets_without_reply", now)
             self.reset_flows(target, packet.flow)
@@ -354,9 +354,12 @@
             self.flows.remove(packet.flow)
 
     def track_progress(
-        self, packet: fleetmodel.Packet, flow: flowtable.Flow, now: float
+        self, packet: fleetmodel.Packet, flow: flowtable.Flow, domain: str, now: float
     ) -> None:
-        """Record replies, and new or repeated requests, that a packet reveals."""
+        """Record replies, and new or repeated requests, that a packet reveals.
+
+        `domain` is the failure domain of the flow's target.
+        """
         if flow.acknowledged == flowtable.UNKNOWN_POSITION:
             # A single packet does not show whether the target has replied recently.
             flow.acknowledged = packet.acknowledged
@@ -370,7 +373,7 @@
                 latency_s = self.flows.end_request(flow, now)
                 if latency_s is not None:
                     self.counts.observe(latency_s)
-            self.suspicions.record_reply(flow.target, now)
+            self.suspicions.record_reply(flow.target, domain, now)
         if not packet.data_bytes:
             return
         if (
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -84,6 +84,8 @@
         self.log = log
         self.counts = counts
         self.records: dict[str, FailureRecord] = {}
+        # When a target of a failure domain last replied, in monotonic seconds.
+        self.domain_replied_at: dict[str, float] = {}
 
     def record_for(self, target: str) -> FailureRecord:
         """Return the record of a target, and create it if there is none."""
@@ -148,10 +150,13 @@
             if unreachable:
                 record.peer_unreachable_until = now + PEER_EVIDENCE_LIFETIME_S
 
-    def record_reply(self, target: str, now: float) -> None:
-        """Record a reply, which clears all evidence if a suspicion was recorded."""
+    def record_reply(self, target: str, domain: str, now: float) -> None:
+        """Record a reply, which clears all evidence if a suspicion was recorded.
+
+        `domain` is the failure domain of the target.
+        """
         record = self.record_for(target)
-        record.replied_at = now
+        record.replied_at = self.domain_replied_at[domain] = now
         if record.failures:
             if record.suspect_until > now:
                 self.log.write("target_cleared", target=target)
@@ -189,6 +194,10 @@
         record = self.records.get(target)
         return record is not None and record.replied_at > since
 
+    def domain_replied_since(self, domain: str, since: float) -> bool:
+        """Return whether a target of a failure domain has replied after a time."""
+        return self.domain_replied_at.get(domain, 0.0) > since
+
     def evidence_count(self, target: str, now: float) -> int:
         """Return the number of flows with evidence, plus one if a peer has some."""
         record = self.records.get(target)
--- a/basilgate/targetchoice.py
+++ b/basilgate/targetchoice.py
@@ -182,11 +182,8 @@
         """Return whether neither hosts nor targets of another failure domain reply."""
         if domain == self.domain or not self.peers.is_domain_silent(domain):
             return False
-        since = now - suspicion.REPLY_AGE_LIMIT_S
-        return not any(
-            self.suspicions.replied_since(entry.target.name, since)
-            for entry in self.view.entries.values()
-            if entry.target.domain == domain
+        return not self.suspicions.domain_replied_since(
+            domain, now - suspicion.REPLY_AGE_LIMIT_S
         )
 
 
--- a/features/fleet_feed.feature
+++ b/features/fleet_feed.feature
@@ -140,6 +140,14 @@
     When a host without documents follows it
     Then it gets all documents in fewer bytes than they have
 
+  Scenario: A change is encoded once for all clients
+    Given a store with 7 targets
+    When a host follows the store
+    And 10 hosts without documents follow it
+    Then all of them get the documents, and each kind was encoded once
+    When configuration 9 is written
+    Then all of them get it, and it was encoded once
+
   Scenario Outline: Messages that are damaged end the connection only
     Given a store with 2 targets
     When a host follows the store
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -140,6 +140,11 @@
     And 5 more flows open
     Then the new ones are at the near target
 
+  Scenario: A silent failure domain of many targets costs little
+    Given a forwarder with 2000 targets, all in a silent failure domain
+    When a flow opens
+    Then the replies of at most 32 targets were looked up
+
   Scenario: A silent failure domain whose targets reply is used
     Given a forwarder with a near and a far target
     When the near target is reported to run 3 requests
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -708,6 +708,39 @@
     assert context.size < sum(map(len, contents))
 
 
+def encodings(context):
+    """Return the number of changes that the source has encoded."""
+    return context.host.counts.total("relay_encodings_total")
+
+
+@behave.when("{count:d} hosts without documents follow it")
+def follow_many(context, count):
+    """Follow with several clients."""
+    context.clients = [follow_source(context, {}) for _ in range(count)]
+
+
+@behave.then("all of them get the documents, and each kind was encoded once")
+def check_many(context):
+    """Check the first messages of each client."""
+    for opened in context.clients:
+        frames, _ = receive_frames(opened, 3)
+        kinds = {frame.kind: len(frame.documents) for frame in frames}
+        assert kinds == {"config": 1, "servers": 7, "basilgate-overrides": 0}, kinds
+    assert encodings(context) == 3, encodings(context)
+
+
+@behave.then("all of them get it, and it was encoded once")
+def check_many_change(context):
+    """Check the message with the change, among signs of life."""
+    for opened in context.clients:
+        frame = None
+        while frame is None or not frame.kind:
+            (frame,), _ = receive_frames(opened, 1)
+        assert frame.kind == "config" and len(frame.documents) == 1
+        opened.close()
+    assert encodings(context) == 4, encodings(context)
+
+
 @behave.when("a client sends {what}")
 def send_damaged(context, what):
     """Send something that is no message."""
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -851,3 +851,24 @@
     """Try the address for real."""
     found = connectionprobes.probe_target(context.address, context.control)
     assert found is connectionprobes.ProbeResult(verdict), found
+
+
+@behave.given("a forwarder with {count:d} targets, all in a silent failure domain")
+def make_many_silent(context, count):
+    """Set up a forwarder with many far targets, and count the look-ups."""
+    rig = make_rig(context, [target(n, domain=FAR) for n in range(1, count + 1)])
+    rig.peers.reachable_domains[FAR] = False
+    context.lookups = 0
+    replied_since = rig.suspicions.replied_since
+
+    def count_lookup(name, since):
+        context.lookups += 1
+        return replied_since(name, since)
+
+    rig.suspicions.replied_since = count_lookup
+
+
+@behave.then("the replies of at most {count:d} targets were looked up")
+def check_lookups(context, count):
+    """Check the number of look-ups."""
+    assert context.lookups <= count, context.lookups
