Count the store's calls only once the source alone waits

Cause: a count that has risen does not show that the source waits for the next change. A first watch that starts after the change is counted, returns at once, and is followed by another.

Change: the stand-in counts the watches that wait and know all changes; the step waits until there is one for each kind.

Ruled out: a second host that watches, since in the end one watch waits for each kind.

--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -467,18 +467,15 @@
 def start_count(context):
     """Let watches that wait end, and count from then on."""
     # A change lets the watches of all hosts return; clients do not watch again.
-    before = collections.Counter(context.store.calls)
     context.store.put("servers", "i-000000cc", entry(6))
     context.store.put("config", "main", configuration(7))
     context.store.put("basilgate-overrides", "x", {"kind": "unheard-of"})
     eventually(lambda: all(h.version() == 7 for h in context.hosts), "version 7")
     # The source gathers changes before it watches again, which must not be counted.
+    kinds = ("servers", "config", "basilgate-overrides")
     eventually(
-        lambda: all(
-            context.store.calls[f"GET {kind}"] > before[f"GET {kind}"]
-            for kind in ("servers", "config", "basilgate-overrides")
-        ),
-        "the source watches again",
+        lambda: [context.store.waiting[kind] for kind in kinds] == [1, 1, 1],
+        "the source alone watches again",
     )
     context.store.calls = collections.Counter()
 
--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -147,6 +147,8 @@
         self.changed = threading.Condition(threading.RLock())
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
+        # Watches that know all changes of their kind and wait for the next, by kind.
+        self.waiting: collections.Counter[str] = collections.Counter()
 
     def put(self, kind: str, name: str, spec: typing.Any) -> int:
         """Create or replace an object; return its revision."""
@@ -223,7 +225,9 @@
                 left_s = ends_at - time.monotonic()
                 if events or left_s <= 0:
                     return {"events": events, "as-of": self.revision}
+                self.waiting[kind] += 1
                 self.changed.wait(left_s)
+                self.waiting[kind] -= 1
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
