Blame no target while callers' packets wait unread

Cause, from reading the code with the report of machines that are only slow in mind: an opening that its caller does not continue within 0.1 s makes its target suspect, and probes and resets may follow. A host that starts with little processor, or is slow, has the caller's packet in its own buffer by then, and blames targets that answered at once.

Change: openings are judged only while no packet waits in the socket's buffer; a check that is put off is made by the next opening or report.

Test: "A host that has not read its callers' packets blames no target" fails without the condition.

--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -3,6 +3,7 @@
 import collections.abc
 import os
 import random
+import select
 import signal
 import socket
 import sys
@@ -111,6 +112,7 @@
             self.suspicions,
             self.prober,
             self.send,
+            self.has_unread_packets,
             settings.listen[1],
             self.log,
             self.counts,
@@ -168,6 +170,12 @@
                 "send_failed", address=f"{address[0]}:{address[1]}", error=str(error)
             )
 
+    def has_unread_packets(self) -> bool:
+        """Return whether callers' packets wait in the socket's buffer."""
+        poll = select.poll()
+        poll.register(self.socket, select.POLLIN)
+        return bool(poll.poll(0))
+
     def forward_packets(self) -> None:
         """Receive and forward packets until `stopped` is set, then those received."""
         while not self.stopped.is_set():
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -20,6 +20,7 @@
 from platformedge import packets
 
 SendDatagram = collections.abc.Callable[[bytes, fleetmodel.Address], None]
+HasUnreadPackets = collections.abc.Callable[[], bool]
 # Retransmissions of a request after which its target is suspect. Callers send them
 # after 0.2 s and another 0.4 s. The first one also happens for requests that are merely
 # slow; at the second one nothing has come from the target for 0.6 s.
@@ -57,6 +58,8 @@
         Probes targets that become suspect.
     send : callable
         Sends a datagram to an address without blocking.
+    has_unread_packets : callable
+        Returns whether packets wait to be received by this host.
     caller_port : int
         Port of all callers at which they receive resets.
     log : eventlog.EventLog
@@ -73,6 +76,7 @@
         suspicions: suspicion.Suspicions,
         prober: connectionprobes.ConnectionProber,
         send: SendDatagram,
+        has_unread_packets: HasUnreadPackets,
         caller_port: int,
         log: eventlog.EventLog,
         counts: counters.Counters,
@@ -83,6 +87,7 @@
         self.suspicions = suspicions
         self.prober = prober
         self.send = send
+        self.has_unread_packets = has_unread_packets
         self.caller_port = caller_port
         self.log = log
         self.counts = counts
@@ -237,8 +242,13 @@
 
         The host of a crashed target resets new flows at the caller, which opens another
         one at once, and no packet through this host shows it. Without this check the
-        target would get even more new flows, since it has so few.
+        target would get even more new flows, since it has so few. While packets wait in
+        this host's own buffer, the callers' may be among them, so nothing is judged.
         """
+        if not self.unanswered_openings or self.unanswered_openings[0][0] > now:
+            return
+        if self.has_unread_packets():
+            return
         while self.unanswered_openings and self.unanswered_openings[0][0] <= now:
             due_at, flow_id, target = self.unanswered_openings.popleft()
             flow = self.flows.flows.get(flow_id)
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -209,6 +209,15 @@
     And 10 more flows open
     Then no new flow is at the first target
 
+  Scenario: A host that has not read its callers' packets blames no target
+    Given a forwarder with 2 targets
+    When a flow opens, and its caller's next packet waits in the host's buffer
+    And 0.11 s pass
+    Then no target is suspect
+    When the host has read all packets
+    And 0.11 s pass
+    Then no target is suspect
+
   Scenario: A target that replies on other flows is not suspected for one opening
     Given a forwarder with 2 targets
     When a flow opens at the first target and is not continued
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -50,6 +50,8 @@
     def __init__(self, context):
         self.now = 1_000.0
         self.sent = []
+        # Whether packets wait to be received by the host.
+        self.backlogged = False
         self.log = eventlog.EventLog(context.log_descriptor, "h1")
         self.counts = counters.Counters()
         self.view = fleetview.FleetView(self.log, self.counts, 60.0)
@@ -73,6 +75,7 @@
             self.suspicions,
             self.prober,
             lambda datagram, address: self.sent.append((datagram, address)),
+            lambda: self.backlogged,
             CALLER_PORT,
             self.log,
             self.counts,
@@ -872,3 +875,28 @@
 def check_lookups(context, count):
     """Check the number of look-ups."""
     assert context.lookups <= count, context.lookups
+
+
+@behave.when("a flow opens, and its caller's next packet waits in the host's buffer")
+def open_backlogged(context):
+    """Open a flow, and keep the packet that continues it."""
+    rig = context.fleet
+    number = rig.open(3_000)
+    rig.backlogged = True
+    context.unread = packet(3_000, ACK, token=number, acknowledged=1, data=b"GET")
+
+
+@behave.when("the host has read all packets")
+def read_backlog(context):
+    """Handle the packet that was kept."""
+    rig = context.fleet
+    rig.backlogged = False
+    rig.handle(context.unread)
+
+
+@behave.then("no target is suspect")
+def check_no_suspect(context):
+    """Check all targets, as the reports to peers do."""
+    rig = context.fleet
+    rig.forwarder.check_openings(rig.now)
+    assert rig.suspicions.own_suspects(rig.now) == []
--- a/lab/fleetpath.py
+++ b/lab/fleetpath.py
@@ -58,6 +58,7 @@
             suspicions,
             connectionprobes.ConnectionProber(log, counts),
             self.send,
+            lambda: False,
             sink[1],
             log,
             counts,
