Test that a late second copy of an answer is not the next one

It cannot happen there: a frame whose request differs is skipped. The scenario passes on the code as it was and stays as a guard.

Conclusion: no change of the product.

--- a/features/hardening.feature
+++ b/features/hardening.feature
@@ -55,6 +55,10 @@
       | changes its number of pieces | target_connection_lost |
       | is larger than allowed      | answer_too_large       |
 
+  Scenario: A late second copy of an answer is not the next request's answer
+    When a target sends a hardened home its answer twice, the second time during the next request
+    Then each hardened request got its own answer
+
   Scenario Outline: Work stopped at its deadline does not count as cancelled
     When a target cancels <work> of a hardened home <cause>
     Then the hardened home reports the outcome <outcome>
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -382,6 +382,43 @@
     assert context.record.answer is None and not context.alive
 
 
+@behave.when(
+    "a target sends a hardened home its answer twice, the second time during the next "
+    "request"
+)
+def answer_twice(context):
+    """Give a slot two requests in turn, and the first one's answer during both."""
+
+    def answer(request):
+        frame = wire.Frame(wire.Kind.ANSWER, solo.SERVICE, 1, request)
+        frame.pieces, frame.body = 1, f"answer {request}".encode()
+        return frame
+
+    async def run():
+        async with solo.running() as server:
+            owner = server.balancer.owned_targets.owners[solo.TARGET]
+            sender, receiver = anyio.create_memory_object_stream(8)
+            slot = slots.Slot(owner, 0, None, receiver)
+            context.records = []
+            for request, answers in ((1, (1,)), (2, (1, 2))):
+                context.records.append(running_record(owner, request))
+                for number in answers:
+                    await sender.send(answer(number))
+                with anyio.fail_after(10):
+                    assert await slots.receive_outcome(slot, context.records[-1])
+
+    anyio.run(run)
+
+
+@behave.then("each hardened request got its own answer")
+def check_answers(context):
+    """Compare the answers that the home keeps."""
+    for record in context.records:
+        assert record.state is requestrecords.RecordState.ANSWERED, record.state
+        pieces = record.answer.pieces
+        assert pieces == [f"answer {record.request}".encode()], pieces
+
+
 @behave.when("a target cancels {work} of a hardened home {cause}")
 def cancel_work(context, work, cause):
     """Give a slot the target's reply to a cancellation."""
