Introduce starting hosts to those that watch the store

A host said that it watches the store as soon as it had listed once, and a host of a large failure domain hears a given other one every 0.7 s at best, knowing three seeds at first.

Change: a host says that it watches the store only once it does, and then tells its whole failure domain. A host that is heard for the first time without a configuration gets the addresses of the hosts of its failure domain that have run longest. The rank is looked up while a host waits for its turn.

Ruled out: longer waits alone, since the host that watches was still not heard.

--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -228,7 +228,7 @@
                 suspects = self.listed_tokens(self.suspicions.own_suspects(now))
                 unreachable = self.listed_tokens(self.suspicions.own_unreachable(now))
             configuration = self.view.configuration
-            self.peers.send_report(
+            report = self.peers.make_report(
                 configuration.version if configuration else 0,
                 self.cache.newest(documents.TARGETS_KIND),
                 self.watches_store(),
@@ -236,6 +236,7 @@
                 suspects,
                 unreachable,
             )
+            self.peers.send_report(report)
 
     def clear_failures(self, restored: list[str]) -> None:
         """Clear suspicions of targets in failure domains that are reachable again."""
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import heapq
 import random
 import socket
 import time
@@ -37,6 +38,9 @@
 LARGE_DOMAIN_HOSTS = 8  # Smallest size of a large failure domain.
 # Twice the mean time, 0.6 s, between reports of one host in a failure domain of 30.
 UPSTREAM_REPORT_AGE_LIMIT_S = 1.2
+# Reports that a host sends to its whole failure domain when it begins to watch the
+# store, so that the others take its documents instead of calling too. One may be lost.
+READER_ANNOUNCEMENTS = 2
 MAX_PEER_ADDRESSES = 8  # Addresses of other peers in one report.
 PEER_ADDRESS_INTERVALS = 5  # Intervals between two reports with these addresses.
 RECEIVE_BYTES = 8_192  # Enough for a report with the loads of about 500 targets.
@@ -123,21 +127,37 @@
         log: eventlog.EventLog,
         counts: counters.Counters,
     ) -> None:
+        self.reset(settings, log, counts, int(time.time() * 1e3))
+        self.rng = random.Random()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((settings.own_ip, self.port))
+
+    def reset(
+        self,
+        settings: fleetmodel.HostSettings,
+        log: eventlog.EventLog,
+        counts: counters.Counters,
+        started_ms: int,
+    ) -> None:
+        """Start with an empty table; `started_ms` is the Unix time of the start."""
         self.settings = settings
         self.log = log
         self.counts = counts
+        self.started_ms = started_ms
         self.port = settings.peer_ports[0]
         self.peers: dict[str, Peer] = {}  # By IP address.
         # Whether a failure domain was heard lately, by its name; domains without a
         # report so far are missing.
         self.reachable_domains: dict[str, bool] = {}
         self.interval_count = 0
-        self.rng = random.Random()
-        self.started_ms = int(time.time() * 1e3)
+        # Reports still to be sent to the whole failure domain, and whether the last one
+        # said that this host watches the store.
+        self.announcements_left = 0
+        self.was_reading = False
+        # Reports of hosts that were heard for the first time since the last interval.
+        self.newcomers: list[Report] = []
         # Open flows and running requests of all peers, by token of the target.
         self.loads: dict[int, tuple[int, float]] = {}
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind((settings.own_ip, self.port))
 
     def receive_report(self) -> Report | None:
         """Wait for a datagram and return its report, None if it has no valid one.
@@ -163,6 +183,7 @@
         known_peer = self.peers.get(report.ip)
         if known_peer is None or known_peer.report is None:
             self.log.write("neighbour_found", neighbour=report.host, ip=report.ip)
+            self.newcomers.append(report)
         self.peers[report.ip] = Peer(report.ip, now, report)
         for ip in report.neighbours:
             if ip != self.settings.own_ip and ip not in self.peers:
@@ -207,8 +228,16 @@
         """Return whether all peers of a failure domain are silent."""
         return not self.reachable_domains.get(domain, True)
 
-    def receivers(self) -> list[str]:
-        """Return the addresses to which this interval's report is sent."""
+    def receivers(self, reads: bool) -> list[str]:
+        """Return the addresses to which this interval's report is sent.
+
+        A host that begins to watch the store (`reads`) tells its whole failure domain.
+        """
+        if reads and not self.was_reading:
+            self.announcements_left = READER_ANNOUNCEMENTS
+        self.was_reading = reads
+        announces = reads and self.announcements_left > 0
+        self.announcements_left -= announces
         by_domain: dict[str, list[str]] = {}
         unknown_ips = []
         for ip, peer in list(self.peers.items()):
@@ -220,7 +249,7 @@
         own_domain_hosts = len(by_domain.get(self.settings.domain, ())) + 1
         for domain, ips in by_domain.items():
             if domain == self.settings.domain:
-                limit = OWN_DOMAIN_RECEIVERS
+                limit = len(ips) if announces else OWN_DOMAIN_RECEIVERS
             else:
                 limit = (
                     OTHER_DOMAIN_RECEIVERS
@@ -313,7 +342,7 @@
         """
         return zlib.crc32(f"{self.settings.own_ip} {report.ip}".encode())
 
-    def send_report(
+    def make_report(
         self,
         config_version: int,
         newest_target: int,
@@ -321,8 +350,8 @@
         loads: dict[int, tuple[int, float]],
         suspects: list[int],
         lost: list[int],
-    ) -> None:
-        """Send this host's report to the peers chosen for this interval.
+    ) -> Report:
+        """Return this host's report, with the addresses of some peers at times.
 
         The parameters are the fields of `Report`.
         """
@@ -331,7 +360,7 @@
             if self.interval_count % PEER_ADDRESS_INTERVALS == 0
             else []
         )
-        report = Report(
+        return Report(
             host=self.settings.name,
             domain=self.settings.domain,
             ip=self.settings.own_ip,
@@ -346,15 +375,52 @@
                 known_ips, min(len(known_ips), MAX_PEER_ADDRESSES)
             ),
         )
-        datagram = ENCODER.encode(report)
-        for ip in self.receivers():
-            try:
-                self.socket.sendto(datagram, (ip, self.port))
-            except OSError as error:
-                self.log.write("report_not_sent", ip=ip, error=str(error))
-                continue
-            self.counts.add("peer_messages_total", direction="out", kind="report")
-            self.counts.add("peer_bytes_total", len(datagram), direction="out")
+
+    def addressed_reports(self, report: Report) -> list[tuple[Report, list[str]]]:
+        """Return the reports of this interval with the addresses that get each.
+
+        A host that is heard for the first time and has no configuration yet is just
+        starting. It gets the addresses of the hosts of its failure domain that have run
+        longest, among which it has to find its upstream.
+        """
+        addressed = [(report, self.receivers(report.reads))]
+        newcomers, self.newcomers = self.newcomers, []
+        by_domain: dict[str, list[str]] = {}
+        for newcomer in newcomers:
+            is_near = newcomer.domain == self.settings.domain
+            if newcomer.config_version == 0 or (report.reads and is_near):
+                by_domain.setdefault(newcomer.domain, []).append(newcomer.ip)
+        for domain, ips in by_domain.items():
+            introduction = msgspec.structs.replace(
+                report, neighbours=self.longest_running(domain)
+            )
+            addressed.append((introduction, ips))
+        return addressed
+
+    def longest_running(self, domain: str) -> list[str]:
+        """Return the addresses of the hosts of a domain that have run longest."""
+        reports = [
+            peer.report
+            for peer in list(self.peers.values())
+            if peer.report is not None and peer.report.domain == domain
+        ]
+        return [
+            report.ip
+            for report in heapq.nsmallest(MAX_PEER_ADDRESSES, reports, key=start_order)
+        ]
+
+    def send_report(self, report: Report) -> None:
+        """Send a report to the peers chosen for this interval."""
+        for addressed, ips in self.addressed_reports(report):
+            datagram = ENCODER.encode(addressed)
+            for ip in ips:
+                try:
+                    self.socket.sendto(datagram, (ip, self.port))
+                except OSError as error:
+                    self.log.write("report_not_sent", ip=ip, error=str(error))
+                    continue
+                self.counts.add("peer_messages_total", direction="out", kind="report")
+                self.counts.add("peer_bytes_total", len(datagram), direction="out")
         self.interval_count += 1
 
 
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -83,13 +83,17 @@
         self.call_aborted = False
         # Whether an upstream relays the kind, so that no calls are made.
         self.relay_is_fresh = False
-        # Time, in seconds of the steady clock, before which no call is made.
+        # Whether the kind was watched at the store since it was last relayed.
+        self.watching = False
+        # Time, in seconds of the steady clock, before which no call is made, and
+        # whether the hosts that have run longer go first then.
         self.next_call_at = 0.0
+        self.yields = False
 
     @property
     def watches_store(self) -> bool:
         """Whether this kind is watched at the store itself and the last call worked."""
-        return not self.failures and not self.relay_is_fresh and self.listed
+        return self.watching and not self.failures and not self.relay_is_fresh
 
     @property
     def listed(self) -> bool:
@@ -101,14 +105,30 @@
         while True:
             relay_is_fresh = self.listed and self.relay_client.is_fresh()
             if self.relay_is_fresh and not relay_is_fresh:
-                self.next_call_at = clock.steady_s() + self.rank_delay_s()
+                self.yield_after(0.0)
             self.relay_is_fresh = relay_is_fresh
+            self.watching = self.watching and not relay_is_fresh
             primary_fails = self.primary is not None and self.primary.failures > 0
-            if relay_is_fresh or primary_fails or clock.steady_s() < self.next_call_at:
+            if relay_is_fresh or primary_fails or not self.may_call():
                 time.sleep(RELAY_CHECK_INTERVAL_S)
             else:
+                self.yields = False
                 self.poll_once()
 
+    def yield_after(self, delay_s: float) -> None:
+        """Let the hosts that have run longer call first, after a delay in seconds."""
+        self.next_call_at = clock.steady_s() + delay_s
+        self.yields = True
+
+    def may_call(self) -> bool:
+        """Return whether it is this host's turn to call the store.
+
+        The rank is looked up each time: a host that has just started comes to know
+        within a second which others have run longer.
+        """
+        delay_s = self.rank_delay_s() if self.yields else 0.0
+        return clock.steady_s() >= self.next_call_at + delay_s
+
     def rank_delay_s(self) -> float:
         """Return the delay, in seconds, that lets longer-running hosts call first."""
         return RANK_DELAY_STEP_S * min(self.relay_client.rank(), MAX_DELAYED_RANKS)
@@ -117,6 +137,7 @@
         """Abort a watch in progress and check the store for missed changes at once."""
         self.check_pending = self.call_aborted = True
         self.next_call_at = 0.0
+        self.yields = False
         self.connection.abort()
 
     def poll_once(self) -> None:
@@ -141,6 +162,7 @@
             response_limit_s = (
                 CHECK_RESPONSE_LIMIT_S if is_check else WATCH_RESPONSE_LIMIT_S
             )
+            self.watching = True
             result = store.watch_kind(
                 self.connection, self.kind, revision, duration_s, response_limit_s
             )
@@ -162,7 +184,7 @@
             self.log.write("document_unreadable", kind=self.kind, problem=problem)
         self.cache.update(self.kind, result, complete)
         if not revision:
-            self.next_call_at = clock.steady_s() + UPSTREAM_WAIT_S + self.rank_delay_s()
+            self.yield_after(UPSTREAM_WAIT_S)
         elif result.documents:
             self.next_call_at = clock.steady_s() + BATCH_DELAY_S
 
--- a/features/fleet_feed.feature
+++ b/features/fleet_feed.feature
@@ -67,6 +67,14 @@
     Then configuration 9 is in force on all hosts
     And one host alone has called the store
 
+  Scenario: Hosts of a failure domain that start at once leave the store to few
+    Given a store with 2 targets
+    And 20 hosts of one failure domain that start at once
+    When all of them are ready and 4 s have passed
+    Then at most 4 hosts watch the store
+    When configuration 9 is written
+    Then configuration 9 is in force on all hosts
+
   Scenario Outline: A source that fails costs no change
     Given a store with 2 targets
     And three hosts of one failure domain
--- a/features/fleet_neighbours.feature
+++ b/features/fleet_neighbours.feature
@@ -49,6 +49,12 @@
     When 1.3 s pass without reports
     Then 0 hosts are to ask before it
 
+  Scenario: Hosts that start at once leave the store to two of each failure domain
+    Given 5 failure domains of 39 hosts that start within 0.3 s and know three seeds
+    When 4 s pass in which they list once and exchange reports
+    Then at most 10 hosts have watched the store
+    And the others take documents from a host that watches it
+
   Scenario: A source is kept while it follows the store
     Given a host with neighbours
     When near hosts have started at 20, this one at 50, and a far one at 1
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -334,7 +334,8 @@
     """Return a settings file of the platform."""
     store_address = address or context.address
     port = context.peer_port
-    return fleetstore.settings_text(ip, domain, port, store_address, HOSTS[:3])
+    seeds = context.seeds if "seeds" in context else HOSTS[:3]
+    return fleetstore.settings_text(ip, domain, port, store_address, seeds)
 
 
 class Process:
@@ -446,6 +447,41 @@
             host.process.wait()
 
 
+@behave.fixture
+def many_forwarders(context, count):
+    """Start many forwarders at once."""
+    context.peer_port = free_port()
+    ips = [f"127.0.12.{number}" for number in range(1, count + 1)]
+    context.seeds = ips[:3]
+    with tempfile.TemporaryDirectory() as context.folder:
+        context.hosts = [Process(context, ip) for ip in ips]
+        yield
+        for host in context.hosts:
+            host.process.kill()
+        for host in context.hosts:
+            host.process.wait()
+
+
+@behave.given("{count:d} hosts of one failure domain that start at once")
+def start_many(context, count):
+    """Start forwarders that know three seeds."""
+    behave.use_fixture(many_forwarders, context, count)
+
+
+@behave.when("all of them are ready and {seconds:g} s have passed")
+def wait_for_many(context, seconds):
+    """Wait until the hosts have settled who watches the store."""
+    for host in context.hosts:
+        eventually(lambda host=host: host.status() == 200, "all hosts are ready")
+    time.sleep(seconds)
+
+
+@behave.then("at most {count:d} hosts watch the store")
+def check_watches(context, count):
+    """Count the watches that wait for a change."""
+    assert 0 < context.store.waiting["config"] <= count, context.store.waiting
+
+
 @behave.given("three hosts of one failure domain")
 def start_hosts(context):
     """Start forwarders."""
--- a/features/steps/fleet_neighbours_steps.py
+++ b/features/steps/fleet_neighbours_steps.py
@@ -1,6 +1,7 @@
 """Steps for reports between balancers."""
 
 import os
+import random
 import socket
 import threading
 
@@ -17,6 +18,7 @@
     eventlog,
     fleetmodel,
     peertable,
+    storewatch,
 )
 
 NEAR, FAR, TOKEN = "d1", "d2", 77
@@ -237,3 +239,126 @@
     context.now += documentrelay.CATCH_UP_TIMEOUT_S
     context.peers.record_report(report("127.0.0.20", NEAR, 20), context.now)
     assert not client.caught_up and client.choose_upstream() == "127.0.0.20"
+
+
+class StartingHost:
+    """A host that starts among many: its table of peers and one watch of the store.
+
+    Times are those of the context's clock, in seconds.
+    """
+
+    def __init__(self, context, number, starts_at):
+        self.ip = f"10.{number // 100}.0.{number % 100}"
+        settings = fleetmodel.HostSettings(
+            name=self.ip,
+            domain=f"d{number % context.domains}",
+            own_ip=self.ip,
+            listen=(self.ip, 1),
+            readiness=(self.ip, 2),
+            store=(self.ip, 3),
+            peer_ports=(1, 1),
+            seeds=("10.0.0.0", "10.0.0.1", "10.0.0.2"),
+            grace_s=6.0,
+            flow_age_limit_s=60.0,
+        )
+        log = eventlog.EventLog(context.null, self.ip)
+        counts = counters.Counters()
+        self.peers = peertable.PeerTable.__new__(peertable.PeerTable)
+        self.peers.rng = random.Random(number)
+        self.peers.reset(settings, log, counts, int(starts_at * 1e3))
+        self.starts_at = starts_at
+        # Importing the program and listing take a second on the smallest hosts.
+        self.lists_at = starts_at + 1.0
+        cache = documentcache.DocumentCache(
+            {"config": lambda *_: None}, threading.Lock()
+        )
+        self.client = documentrelay.RelayClient(self.peers, cache, log, counts)
+        self.watcher = storewatch.KindWatcher(
+            "config", None, cache, self.client, log, counts
+        )
+        self.listed = self.called = False
+        self.source = None
+
+    def act(self, hosts, now):
+        """List once, then follow a source or watch the store."""
+        if now < self.lists_at:
+            return
+        if not self.listed:
+            self.listed = True
+            self.watcher.yield_after(storewatch.UPSTREAM_WAIT_S)
+        self.source = self.client.choose_upstream()
+        if self.source is not None:
+            # A connection stays while its source watches the store.
+            fresh = hosts[self.source].watcher.watching
+            self.client.upstream = self.source
+            self.client.fresh_until = now + 0.5 if fresh else 0.0
+            self.watcher.watching = False
+        elif self.watcher.may_call():
+            self.watcher.watching = self.called = True
+
+    def exchange(self, hosts, now):
+        """Send a report to the hosts that are to get it."""
+        self.peers.refresh(now)
+        reads = self.watcher.watching
+        sent = self.peers.make_report(1 if self.listed else 0, 1, reads, {}, [], [])
+        for addressed, ips in self.peers.addressed_reports(sent):
+            for ip in ips:
+                receiver = hosts[ip]
+                if now >= receiver.starts_at + 0.5:
+                    receiver.peers.record_report(addressed, now)
+        self.peers.interval_count += 1
+
+
+@behave.fixture
+def virtual_clock(context):
+    """Let time pass only when a step says so."""
+    context.null = os.open(os.devnull, os.O_WRONLY)
+    context.now = 100.0
+    real, clock.steady_s = clock.steady_s, lambda: context.now
+    yield
+    clock.steady_s = real
+    os.close(context.null)
+
+
+@behave.given(
+    "{domains:d} failure domains of {count:d} hosts that start within {span:g} s and "
+    "know three seeds"
+)
+def make_starting_hosts(context, domains, count, span):
+    """Set up the hosts."""
+    behave.use_fixture(virtual_clock, context)
+    context.domains = domains
+    found = [
+        StartingHost(context, number, context.now + context.rng.uniform(0.0, span))
+        for number in range(domains * count)
+    ]
+    context.starting = {host.ip: host for host in found}
+
+
+@behave.when("{seconds:g} s pass in which they list once and exchange reports")
+def exchange_reports(context, seconds):
+    """Let each host act every 0.05 s and send its reports in their interval."""
+    hosts = context.starting
+    for _ in range(round(seconds / 0.05)):
+        context.now += 0.05
+        for host in hosts.values():
+            since = context.now - host.starts_at
+            intervals = since / peertable.REPORT_INTERVAL_S
+            if since > 0.5 and intervals % 1 < 0.05 / peertable.REPORT_INTERVAL_S:
+                host.exchange(hosts, context.now)
+            host.act(hosts, context.now)
+
+
+@behave.then("at most {count:d} hosts have watched the store")
+def check_called(context, count):
+    """Count the hosts that called."""
+    called = [host.ip for host in context.starting.values() if host.called]
+    assert 0 < len(called) <= count, len(called)
+
+
+@behave.then("the others take documents from a host that watches it")
+def check_sources(context):
+    """Check the source of each host."""
+    hosts = context.starting
+    for host in hosts.values():
+        assert host.watcher.watching or hosts[host.source].watcher.watching, host.ip
