Keep the balancer running after an unexpected error in one datagram

Cause: an exception in the handling of a caller's frame or a control message ended the task group and so the process; a datagram that is sent again would end the next host too.

Change: the two receive loops log and count the error and drop the datagram.

Test: "An unexpected error drops one datagram" ends with the error on the code before.

Errors in other tasks of the balancer still end the process.

--- a/basilgate/balancer.py
+++ b/basilgate/balancer.py
@@ -1,5 +1,7 @@
 """Balancer process of one entry host: sockets, dispatch of frames, and shutdown."""
 
+import collections.abc
+import contextlib
 import pathlib
 import random
 import signal
@@ -270,10 +272,12 @@
             datagram, caller = await self.caller_socket.receive()
             if await guard.is_stale(datagram):
                 drop(reasons.Reason.STALE)
-            elif int.from_bytes(datagram[:2], "big") == wire.RELAY_MAGIC:
-                await self.on_relayed(datagram)
-            else:
-                await self.on_datagram(datagram, caller)
+                continue
+            with contained("callers"):
+                if int.from_bytes(datagram[:2], "big") == wire.RELAY_MAGIC:
+                    await self.on_relayed(datagram)
+                else:
+                    await self.on_datagram(datagram, caller)
 
     async def on_datagram(self, datagram: bytes, caller: wire.Address) -> None:
         """Handle a frame that a caller sent to this host."""
@@ -300,7 +304,8 @@
             datagram, address = await self.peer_socket.receive()
             if await guard.is_stale(datagram):
                 drop(reasons.Reason.STALE)
-            else:
+                continue
+            with contained("peers"):
                 await self.on_control(datagram, address)
 
     async def on_relayed(self, datagram: bytes) -> None:
@@ -793,6 +798,22 @@
         metrics.DROPPED.inc(DROP_LABELS[reason])
 
 
+@contextlib.contextmanager
+def contained(source: str) -> collections.abc.Iterator[None]:
+    """Log and count an unexpected error in the handling of one datagram.
+
+    A datagram that ended one host would end the next, since callers send it again. A
+    violated invariant still ends the process.
+    """
+    try:
+        yield
+    except invariants.InvariantError:
+        raise
+    except Exception as error:
+        metrics.UNEXPECTED_ERRORS.inc({"source": source})
+        logs.event(LOGGER.error, "unexpected_error", source=source, error=repr(error))
+
+
 async def wait_for_signal() -> None:
     """Wait for SIGTERM or SIGINT."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -50,9 +50,10 @@
 METRICS_PORT = 9_464  # Common port of Prometheus exporters.
 # Shorter than `flowtable.SWEEP_INTERVAL_S` and `peerreports.PAUSE_LIMIT_S`, both 1 s.
 MAINTENANCE_INTERVAL_S = 0.5
-Loop = collections.abc.Callable[[], None]
 EXIT_USAGE = 2  # The settings are missing or invalid.
 
+Loop = collections.abc.Callable[[], None]
+
 
 class ForwarderProcess:
     """Connects the parts of the forwarder and runs them in threads.
--- a/basilgate/metrics.py
+++ b/basilgate/metrics.py
@@ -105,6 +105,9 @@
 INVARIANT_VIOLATIONS = counter(
     "invariant_violations_total", "Broken invariants, by invariant"
 )
+UNEXPECTED_ERRORS = counter(
+    "unexpected_errors_total", "Unexpected errors, by source of the datagram"
+)
 DROPPED = counter("dropped_datagrams_total", "Datagrams dropped, by reason")
 FRAMES = counter("frames_total", "Frames received from callers, by kind")
 RELAYED = counter("relayed_total", "Frames passed to another balancer")
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -237,7 +237,8 @@
             self.announcements_left = READER_ANNOUNCEMENTS
         self.was_reading = reads
         announces = reads and self.announcements_left > 0
-        self.announcements_left -= announces
+        if announces:
+            self.announcements_left -= 1
         by_domain: dict[str, list[str]] = {}
         unknown_ips = []
         for ip, peer in list(self.peers.items()):
--- a/features/hardening.feature
+++ b/features/hardening.feature
@@ -18,6 +18,15 @@
     When a live balancer gets 3 batches of hostile input from seed 7
     Then the hardened balancer has counted drops for bad_mac, malformed, oversized, token_expired, token_forged, token_wrong_service, truncated
 
+  Scenario Outline: An unexpected error drops one datagram
+    When a live balancer's handling of the first datagram from <source> fails
+    Then the hardened balancer opens a flow, and 1 error from <source> is counted
+
+    Examples:
+      | source  |
+      | callers |
+      | peers   |
+
   Scenario Outline: A message without authority is refused with a counted reason
     When a live balancer gets <message> in a hardening test
     Then the hardening test counts 1 drop for <reason>
--- a/features/steps/hardening_steps.py
+++ b/features/steps/hardening_steps.py
@@ -157,6 +157,37 @@
     context.drops = anyio.run(fuzz.run, s, 60.0, batches)
 
 
+@behave.when("a live balancer's handling of the first datagram from {source} fails")
+def fail_first(context, source):
+    """Let the handler of one socket raise an error once."""
+
+    async def run():
+        async with solo.running() as server:
+            name = "on_datagram" if source == "callers" else "on_control"
+            handler = getattr(server.balancer, name)
+
+            async def fail(*_):
+                setattr(server.balancer, name, handler)
+                raise LookupError("first datagram")
+
+            setattr(server.balancer, name, fail)
+            before = metrics.total(metrics.UNEXPECTED_ERRORS)
+            if source == "peers":
+                await server.send_control("heartbeat", server.heartbeat())
+            # The first copy of the opening meets the fault of the callers' socket.
+            context.opened = await server.open(77)
+            context.errors = metrics.total(metrics.UNEXPECTED_ERRORS) - before
+
+    anyio.run(run)
+
+
+@behave.then("the hardened balancer opens a flow, and 1 error from {source} is counted")
+def check_contained(context, source):
+    """Check that the balancer still serves."""
+    assert context.opened is not None
+    assert context.errors == 1, (source, context.errors)
+
+
 @behave.then("the hardened balancer has counted drops for {names}")
 def check_drops(context, names):
     """Check that each reason was reached."""
