Log the store's era, and what becomes of each listing

The logs of the incident could not tell a listing that is discarded from a document that is dropped or overwritten later. store_era_changed says when a host learned that the store came back from a copy, kind_listed what a listing contained and whether it was used; basilgate_store_era shows hosts that have not heard of the return. No logic changed.

--- a/basilgate/counters.py
+++ b/basilgate/counters.py
@@ -25,6 +25,7 @@
     "unexpected_errors_total": "Unexpected errors, by activity",
     "unreadable_documents_total": "Documents of the store that cannot be read, by kind",
     "invariant_violations_total": "Broken invariants, by invariant",
+    "store_era": "Number that rises each time the store returns from a copy",
     "config_version": "Version of the configuration in force",
     "targets": "Targets known, by state",
     "flows": "Flows seen lately",
--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -82,9 +82,11 @@
             cached.digest_changes = cached.changes
         return cached.digest
 
-    def update(self, kind: str, listing: store.Listing, complete: bool) -> None:
+    def update(self, kind: str, listing: store.Listing, complete: bool) -> bool:
         """Store and apply documents, except those cached at a later revision.
 
+        Returns False if the listing was ignored.
+
         Parameters
         ----------
         kind : str
@@ -98,7 +100,7 @@
         cached = self.kinds[kind]
         with self.changed:
             if complete and listing.revision < cached.revision:
-                return
+                return False
             incoming = list(listing.documents)
             if complete:
                 listed_names = {document.name for document in incoming}
@@ -118,6 +120,7 @@
             self.evict_tombstones(cached)
             cached.apply(listing, complete)
             self.changed.notify_all()
+        return True
 
     def evict_tombstones(self, cached: KindCache) -> None:
         """Drop the oldest tombstones beyond `MAX_TOMBSTONES`."""
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -89,6 +89,7 @@
         # whether the hosts that have run longer go first then.
         self.next_call_at = 0.0
         self.yields = False
+        self.era = 0  # The store's era in the latest response.
 
     @property
     def watches_store(self) -> bool:
@@ -168,6 +169,7 @@
             )
         outcome = result.value if isinstance(result, store.Failure) else "ok"
         self.counts.add("store_calls_total", kind=self.kind, outcome=outcome)
+        self.note_era()
         if isinstance(result, store.Failure):
             if self.call_aborted and result is store.Failure.BROKEN:
                 self.call_aborted = False
@@ -182,12 +184,37 @@
         for problem in result.unreadable:
             self.counts.add("unreadable_documents_total", kind=self.kind)
             self.log.write("document_unreadable", kind=self.kind, problem=problem)
-        self.cache.update(self.kind, result, complete)
+        applied = self.cache.update(self.kind, result, complete)
+        if complete:
+            self.log.write(
+                "kind_listed",
+                kind=self.kind,
+                era=self.connection.era,
+                revision=result.revision,
+                previous_revision=revision,
+                documents=len(result.documents),
+                newest=max((d.revision for d in result.documents), default=0),
+                applied=applied,
+            )
         if not revision:
             self.yield_after(UPSTREAM_WAIT_S)
         elif result.documents:
             self.next_call_at = clock.steady_s() + BATCH_DELAY_S
 
+    def note_era(self) -> None:
+        """Log the store's era in the latest response if it has changed."""
+        era = self.connection.era
+        if era != self.era:
+            self.log.write(
+                "store_era_changed",
+                kind=self.kind,
+                era=era,
+                previous=self.era,
+                revision=self.cache.revision(self.kind),
+            )
+            self.era = era
+            self.counts.set_gauge("store_era", era)
+
     def handle_failure(self, failure: store.Failure) -> None:
         """Record a failed call and sleep for a random delay that spreads the hosts.
 
