Test that a change after the store's return is applied, known to fail

The stand-in store can come back from a copy: its era rises, revisions go back and are given out again, waiting watches are cut, and a watch from a revision that it does not have gets 410. The scenario fails on this code: the host's listing is discarded for its lower revision, and configuration 9 takes the revision from which the host then watches ("not in 20.0 s: configuration 9").

--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -123,6 +123,10 @@
         Called once a page of a listing that goes on was read.
     repeat_after_s : float
         Each answer is sent a second time after this delay; 0 for no second time.
+    era : str or None
+        Era that answers state instead of the store's, empty for no header.
+    keep_watches : bool
+        Watches that wait go on when the store comes back from a copy.
     """
 
     def __init__(self) -> None:
@@ -134,12 +138,15 @@
         self.old: FleetStore | None = None
         self.after_page: collections.abc.Callable[[], None] | None = None
         self.repeat_after_s = 0.0
+        self.era: str | None = None
+        self.keep_watches = False
 
 
 class FleetStore:
     """Objects by kind and name with one revision counter."""
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 1
         self.kinds: dict[str, dict[str, Json]] = collections.defaultdict(dict)
         self.history: list[tuple[int, str, Json, bool]] = []
@@ -195,6 +202,16 @@
             found.kinds.update(copy.deepcopy(self.kinds))
         return found
 
+    def restore(self, found: "FleetStore") -> None:
+        """Come back from a copy: later changes are lost, their revisions free again."""
+        with self.changed:
+            self.era += 1
+            self.revision = self.forgotten = found.revision
+            self.kinds.clear()
+            self.kinds.update(copy.deepcopy(found.kinds))
+            self.history.clear()
+            self.changed.notify_all()
+
     def forget_history(self) -> None:
         """Drop the history, so that older watches end with 410."""
         with self.changed:
@@ -211,11 +228,21 @@
             return {"items": items, "more": more, "as-of": self.revision}
 
     def wait(self, kind: str, after: int, wait_s: float) -> Json | None:
-        """Return the changes of a kind after a revision; None if they are gone."""
+        """Return the changes of a kind after a revision; None if they are gone.
+
+        Raises
+        ------
+        ConnectionResetError
+            If the store comes back from a copy and ends the watches that wait.
+        """
         ends_at = time.monotonic() + wait_s
         with self.changed:
+            era = self.era
             while True:
-                if after < self.forgotten:
+                if era != self.era and not self.faults.keep_watches:
+                    raise ConnectionResetError("the store has come back from a copy")
+                kept = era != self.era
+                if not kept and (after < self.forgotten or after > self.revision):
                     return None
                 events = [
                     {"object": stored, "deleted": deleted}
@@ -256,7 +283,11 @@
         if faults.status:
             self.answer(faults.status, {})
             return
-        status, found = self.act(kind, names, query, body)
+        try:
+            status, found = self.act(kind, names, query, body)
+        except ConnectionResetError:
+            self.close_connection = True
+            return
         if self.command != "GET" and faults.lose_answers > 0:
             faults.lose_answers -= 1
             self.close_connection = True
@@ -303,6 +334,8 @@
         """Send an answer."""
         body = encode(found)
         head = f"HTTP/1.1 {status} answer\r\nContent-Type: application/json\r\n"
+        era = self.store.era if self.faults.era is None else self.faults.era
+        head += f"Store-Era: {era}\r\n" if era != "" else ""
         head += f"Content-Length: {len(body)}\r\n\r\n"
         self.wfile.write(head.encode() + body)
         if self.faults.repeat_after_s:
