Order what the store says by its era, so that changes after its return are applied

Callers were served by an old configuration, until the next restart of the hosts, once the store had come back from a copy of its data: a change accepted afterwards was in force on no host.

Cause: the cache, its relays, reports and the view ordered all states by the store's revision. After a return revisions go back and are given out again, so a listing with a lower revision was discarded as old, and the watch went on from a number that now stood for another change.

Now a position is the store's era (header Store-Era) and the revision, and all comparisons use it. A new era on any connection lets all kinds be listed again at once, and ends watches that are open since before. Across eras the writer's own order decides: version of a configuration, start and report number of a target, time of an override; so a host does not go back to what the copy has, a target that left does not return, one that the copy lacks has 2 s to report, and what operators wrote stays in force. Hosts of both eras exchange documents with the same result in both directions. A host does not take documents from one of an earlier era. A first listing that may be old counts as of no era, since it may be from before the return. The checksum of documents no longer contains revisions. An answer without an era, or of an earlier one, is not used. Relayed messages and reports have new trailing fields, which the previous version ignores.

Changed test lines: rigs give positions instead of numbers, and the host of fleet_feed connects its watchers as the process does; FleetView.replace_targets is gone, since the cache passes each removal on.

--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -17,7 +17,14 @@
 
 import msgspec
 
-from basilgate import clock, counters, documentcache, eventlog, peertable
+from basilgate import (
+    clock,
+    counters,
+    documentcache,
+    eventlog,
+    fleetmodel,
+    peertable,
+)
 from platformedge import documents, store
 
 LENGTH_PREFIX = struct.Struct(">I")  # Compressed length of a message, in bytes.
@@ -55,7 +62,9 @@
     `revision` is the store's revision up to which the kind is known, `complete` whether
     all documents of the kind are listed. `reads` is true while the upstream watches the
     store and its calls succeed. A document is its name, its revision, and its content,
-    which is empty if it was removed.
+    which is empty if it was removed. `era` is the store's era of all revisions, in a
+    heartbeat the latest one that the upstream knows. `confirmed` holds era and revision
+    of the kinds of which the downstream has the same documents.
     """
 
     kind: str
@@ -63,6 +72,8 @@
     complete: bool
     documents: list[tuple[str, int, bytes]]
     reads: bool
+    era: int = 0
+    confirmed: dict[str, fleetmodel.Position] = {}
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -176,23 +187,38 @@
             subscription = SUBSCRIPTION_DECODER.decode(receive_message(connection))
             host = subscription.host
             self.log.write("relay_client_connected", relay_client=host)
-            self.send_changes(connection, self.changes_known_to(subscription))
+            sent_counts, confirmation = self.changes_known_to(subscription)
+            if sent_counts:
+                send_message(connection, confirmation)
+            self.send_changes(connection, sent_counts)
         except (OSError, *documents.DECODE_ERRORS) as error:
             self.log.write("relay_client_lost", relay_client=host, reason=str(error))
 
-    def changes_known_to(self, subscription: Subscription) -> dict[str, int]:
+    def changes_known_to(
+        self, subscription: Subscription
+    ) -> tuple[dict[str, int], DocumentFrame]:
         """Return this host's change counts of the kinds that a downstream has.
 
         A kind with the same digest is not sent again: if a new upstream sent all
-        documents to all downstreams, links of 10 Mbit/s would be full for a second.
+        documents to all downstreams, links of 10 Mbit/s would be full for a second. The
+        second value is a heartbeat that confirms these kinds.
         """
         with self.cache.changed:
             changes = self.cache.changes()
-            return {
+            known = {
                 kind: changes[kind]
                 for kind, digest in subscription.digests.items()
                 if kind in changes and digest and digest == self.cache.digest(kind)
             }
+            confirmed = {kind: self.cache.position(kind) for kind in known}
+        heartbeat = self.heartbeat()
+        heartbeat.confirmed = confirmed
+        return known, heartbeat
+
+    def heartbeat(self) -> DocumentFrame:
+        """Return a message without documents."""
+        reads = self.watches_store()
+        return DocumentFrame("", 0, False, [], reads, self.cache.era)
 
     def send_changes(
         self, connection: socket.socket, sent_counts: dict[str, int]
@@ -204,8 +230,7 @@
         while True:
             messages = self.messages_after(sent_counts)
             if not messages:
-                heartbeat = DocumentFrame("", 0, False, [], self.watches_store())
-                messages = [("beat", encode_message(heartbeat))]
+                messages = [("beat", encode_message(self.heartbeat()))]
             for kind, message in messages:
                 connection.sendall(message)
                 self.counts.add("peer_messages_total", direction="out", kind=kind)
@@ -244,9 +269,8 @@
                 )
             if unsent is not None:
                 listing, complete = unsent
-                rows = [(d.name, d.revision, d.content) for d in listing.documents]
                 message = self.encoded[key] = encode_message(
-                    DocumentFrame(kind, listing.revision, complete, rows, reads)
+                    make_frame(kind, listing, complete, reads)
                 )
                 self.counts.add("relay_encodings_total", kind=kind)
                 while len(self.encoded) > MAX_ENCODED_MESSAGES:
@@ -255,6 +279,41 @@
         return message
 
 
+def make_frame(
+    kind: str, listing: store.Listing, complete: bool, reads: bool
+) -> DocumentFrame:
+    """Return the message with the documents of a listing.
+
+    Documents of earlier eras are sent as of the listing's position, since the sender
+    knows that nothing newer exists up to there.
+    """
+    era, revision = listing.position
+    rows = []
+    for document in listing.documents:
+        is_of_era = document.position.era == era
+        content = b"" if document.removed else document.content
+        rows.append(
+            (
+                document.name,
+                document.position.revision if is_of_era else revision,
+                content,
+            )
+        )
+    return DocumentFrame(kind, revision, complete, rows, reads, era)
+
+
+def read_frame(frame: DocumentFrame) -> store.Listing:
+    """Return the listing in a message."""
+    received = [
+        documents.StoredDocument(
+            name, fleetmodel.Position(frame.era, revision), content, not content
+        )
+        for name, revision, content in frame.documents
+    ]
+    position = fleetmodel.Position(frame.era, frame.revision)
+    return store.Listing(received, position, [])
+
+
 class RelayClient:
     """Receives documents from an upstream, which saves calls to the store.
 
@@ -334,7 +393,7 @@
         has_all_kinds = all(self.cache.changes().values())
         avoided_ips = [ip for ip, until in self.avoided_until.items() if now < until]
         return self.peers.choose_upstream(
-            now, self.store_fails(), has_all_kinds, avoided_ips
+            now, self.store_fails(), has_all_kinds, avoided_ips, self.cache.era
         )
 
     def follow_upstream(self, ip: str) -> None:
@@ -365,15 +424,18 @@
             connection.close()
 
     def apply_frame(self, frame: DocumentFrame) -> None:
-        """Apply a message of the upstream to the cache, and update its freshness."""
+        """Apply a message of the upstream to the cache, and update its freshness.
+
+        An upstream that has not heard of the store's return does not count as fresh.
+        """
         kind = frame.kind or "beat"
         self.counts.add("peer_messages_total", direction="in", kind=kind)
         if not frame.kind and self.upstream == self.newer_peer_ip:
             self.caught_up = True
         if frame.kind in self.cache.kinds:
-            received = [documents.StoredDocument(*row) for row in frame.documents]
-            listing = store.Listing(received, frame.revision, [])
-            self.cache.update(frame.kind, listing, frame.complete)
-        self.fresh_until = (
-            clock.steady_s() + HEARTBEAT_TIMEOUT_S if frame.reads else 0.0
-        )
+            self.cache.update(frame.kind, read_frame(frame), frame.complete)
+        for kind, position in frame.confirmed.items():
+            if kind in self.cache.kinds and position > self.cache.position(kind):
+                self.cache.update(kind, store.Listing([], position, []), False)
+        is_fresh = frame.reads and frame.era >= self.cache.era
+        self.fresh_until = clock.steady_s() + HEARTBEAT_TIMEOUT_S if is_fresh else 0.0
--- a/basilgate/fleetcommands.py
+++ b/basilgate/fleetcommands.py
@@ -75,7 +75,7 @@
     documents.DocumentError
         If the document cannot be decoded.
     """
-    name, revision = document.name, document.revision
+    name, revision = document.name, document.position.revision
     if kind == documents.TARGETS_KIND:
         target = documents.decode_target(name, document.content)
         contents.targets[name] = (target, revision)
@@ -319,9 +319,10 @@
         return Outcome(Exit.NOT_FOUND, [f"not found: override of {target}"])
     if isinstance(stored, store.Failure):
         return not_accepted(stored, "cannot read the store")
-    if stored.revision != revision:
-        line = f"conflict: override of {target} has revision {stored.revision} by now; "
-        return Outcome(Exit.CONFLICT, [line + "nothing was changed, look at it again"])
+    if stored.position.revision != revision:
+        line = f"conflict: override of {target} has revision "
+        line += f"{stored.position.revision} by now; nothing was changed, "
+        return Outcome(Exit.CONFLICT, [line + "look at it again"])
     maybe_applied = False
 
     def write() -> store.Failure | None:
@@ -369,6 +370,6 @@
             override.reason,
             expires,
         )
-        rows.append((*row, str(document.revision)))
+        rows.append((*row, str(document.position.revision)))
     lines = outcomes.table(rows) + [f"unreadable: {problem}" for problem in problems]
     return Outcome(Exit.OK, lines, {"overrides": rows[1:]})
--- a/basilgate/fleetmodel.py
+++ b/basilgate/fleetmodel.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import socket
+import typing
 
 import msgspec
 
@@ -21,6 +22,25 @@
     return True
 
 
+class Position(typing.NamedTuple):
+    """Point in the history of the platform's store; later ones compare greater.
+
+    Attributes
+    ----------
+    era : int
+        Number that rises each time the store comes back from a copy of its data, which
+        makes it give out revisions a second time; 0 if the store names no era.
+    revision : int
+        Number of the last change up to this point, counted by the store.
+    """
+
+    era: int
+    revision: int
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.revision}" if self.era else str(self.revision)
+
+
 class Packet(msgspec.Struct, gc=False):
     """One packet of a caller, with the header fields that decide how it is routed.
 
--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -1,7 +1,5 @@
 """Routes, targets, and overrides that one host applies, and their changes."""
 
-import collections.abc
-
 import msgspec
 
 from basilgate import clock, counters, eventlog, fleetmodel, invariants, overriderules
@@ -20,8 +18,8 @@
     ----------
     target : fleetmodel.Target
         The target as its entry describes it.
-    revision : int
-        Revision of the store at which the entry last changed.
+    position : fleetmodel.Position
+        Where in the store's history the entry last changed.
     warm_at : float
         When the target stops being slow after its start.
     relative_weight : float
@@ -33,7 +31,7 @@
     """
 
     target: fleetmodel.Target
-    revision: int
+    position: fleetmodel.Position
     warm_at: float
     relative_weight: float = 1.0
     removed_at: float | None = None
@@ -43,7 +41,7 @@
 class FleetView:
     """Configuration, targets, and overrides in force on this host.
 
-    A document whose revision or version is older than the one in force is ignored, so
+    A document whose position or version is older than the one in force is ignored, so
     the view never goes back to an older state while the process runs. Not safe for
     threads: `ForwarderProcess.lock` guards each change.
 
@@ -126,19 +124,21 @@
         )
         return True
 
-    def apply_target(self, target: fleetmodel.Target, revision: int) -> bool:
-        """Apply a target's entry at a revision; return False if it is not newer."""
+    def apply_target(
+        self, target: fleetmodel.Target, position: fleetmodel.Position
+    ) -> bool:
+        """Apply a target's entry of a position; return False if it is not newer."""
         now = clock.steady_s()
         previous = self.entries.get(target.name) or self.removed.get(target.name)
-        if previous is not None and revision < previous.revision:
+        if previous is not None and position < previous.position:
             return False
         if (
             previous is not None
-            and revision == previous.revision
+            and position == previous.position
             and previous.removed_at is None
         ):
             return False
-        entry = TargetEntry(target, revision, now + target.cold_s)
+        entry = TargetEntry(target, position, now + target.cold_s)
         self.removed.pop(target.name, None)
         self.entries[target.name] = entry
         self.candidate_cache.clear()
@@ -156,7 +156,7 @@
                 domain=target.domain,
                 leaving=target.leaving,
                 cold_s=target.cold_s,
-                revision=revision,
+                revision=position,
             )
         return True
 
@@ -177,26 +177,26 @@
             "token_shared", target=entry.target.name, other=holder.target.name
         )
 
-    def remove_target(self, name: str, revision: int) -> bool:
+    def remove_target(self, name: str, position: fleetmodel.Position) -> bool:
         """Remove a target that the store no longer lists.
 
         Packets of its open flows are still forwarded to it. Unless the target was
         leaving, it also gets new flows for `REMOVAL_GRACE_S`: it may be alive, and its
         entry only missing because the store could not be reached. Returns False if the
-        target is not listed, or by a newer revision.
+        target is not listed, or at a later position.
         """
         entry = self.entries.get(name)
-        if entry is None or revision < entry.revision:
+        if entry is None or position < entry.position:
             return False
         now = clock.steady_s()
         del self.entries[name]
-        entry.revision = revision
+        entry.position = position
         entry.removed_at = now
         entry.closes_at = now if entry.target.leaving else now + REMOVAL_GRACE_S
         self.removed[name] = entry
         self.evict_removed(now)
         self.candidate_cache.clear()
-        self.log.write("target_removed", target=name, revision=revision)
+        self.log.write("target_removed", target=name, revision=position)
         return True
 
     def evict_removed(self, now: float) -> None:
@@ -213,22 +213,6 @@
             if self.by_token.get(entry.target.token) is entry:
                 del self.by_token[entry.target.token]
 
-    def replace_targets(
-        self,
-        listing: collections.abc.Mapping[str, tuple[fleetmodel.Target, int]],
-        revision: int,
-    ) -> None:
-        """Apply a complete listing of the targets at a revision of the store.
-
-        The listing has each target with the revision of its last change, by name.
-        """
-        for target, entry_revision in listing.values():
-            self.apply_target(target, entry_revision)
-        for name, entry in list(self.entries.items()):
-            if name not in listing and entry.revision <= revision:
-                self.remove_target(name, revision)
-        self.targets_listed = True
-
     def apply_override(self, override: fleetmodel.Override) -> None:
         """Put an operator's override in force, in place of one of the same name."""
         self.overrides[override.name] = override
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -143,6 +143,8 @@
                 self.watchers[0] if self.watchers else None,
             )
             self.watchers.append(watcher)
+        for watcher in self.watchers:
+            watcher.siblings = [found for found in self.watchers if found != watcher]
         self.reports = peerreports.ReportExchange(
             self.peers,
             self.view,
@@ -246,6 +248,7 @@
         self.counts.set_gauge("targets", listed_count, state="listed")
         self.counts.set_gauge("targets", removed_count, state="departed")
         self.counts.set_gauge("flows", len(self.flows.flows))
+        self.counts.set_gauge("store_era", self.cache.era)
         self.counts.set_gauge("log_lines_omitted_total", self.log.omitted_total)
         body = self.counts.exposition().encode()
         return 200, "text/plain; version=0.0.4", body
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -230,7 +230,7 @@
             route=route.name,
             service=service,
             target=target.name,
-            target_revision=entry.revision,
+            target_revision=entry.position,
             tried=len(tried_targets),
             load=load,
             config_version=version,
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -96,15 +96,15 @@
         # upstream.
         self.stopping = False
         # Time since which a peer has had newer documents, None if none has; the newest
-        # version and revision that any peer reported, and the address of that peer.
+        # version and position that any peer reported, and the address of that peer.
         self.stale_since: float | None = None
         self.newest_config_version = 0
-        self.newest_target_revision = 0
+        self.newest_target_position = documentcache.UNLISTED
         self.newest_peer_ip = ""
-        # Newest target revision for which a peer was used as upstream, and the one up
-        # to which such a peer had sent all that it has.
-        self.requested_target_revision = 0
-        self.confirmed_target_revision = 0
+        # Newest position of a target for which a peer was used as upstream, and the one
+        # up to which such a peer had sent all that it has.
+        self.requested_target_position = documentcache.UNLISTED
+        self.confirmed_target_position = documentcache.UNLISTED
 
     def watches_store(self) -> bool:
         """Return whether this host watches the store and is not stopping.
@@ -136,30 +136,30 @@
         """
         if (
             report.config_version >= self.newest_config_version
-            and report.newest_target >= self.newest_target_revision
+            and report.newest_position >= self.newest_target_position
         ):
             self.newest_peer_ip = report.ip
         self.newest_config_version = max(
             self.newest_config_version, report.config_version
         )
-        self.newest_target_revision = max(
-            self.newest_target_revision, report.newest_target
+        self.newest_target_position = max(
+            self.newest_target_position, report.newest_position
         )
         if self.relay_client.caught_up:
-            self.confirmed_target_revision = self.requested_target_revision
+            self.confirmed_target_position = self.requested_target_position
         configuration = self.view.configuration
         config_version = configuration.version if configuration is not None else 0
-        cached_target_revision = self.cache.newest(documents.TARGETS_KIND)
+        newest_target = self.cache.newest(documents.TARGETS_KIND)
         # The newest change that a peer reported may be of a target that was removed
         # meanwhile, and so may never be among this host's documents.
-        known_target_revision = max(
-            cached_target_revision,
-            self.cache.revision(documents.TARGETS_KIND),
-            self.confirmed_target_revision,
+        known_target_position = max(
+            newest_target,
+            self.cache.position(documents.TARGETS_KIND),
+            self.confirmed_target_position,
         )
         if (
             self.newest_config_version <= config_version
-            and self.newest_target_revision <= known_target_revision
+            and self.newest_target_position <= known_target_position
         ):
             self.stale_since = None
             return
@@ -169,14 +169,14 @@
             return
         # Lets this check reach its time limit before the next one.
         self.stale_since = now + RECHECK_DELAY_S
-        self.requested_target_revision = self.newest_target_revision
+        self.requested_target_position = self.newest_target_position
         self.log.write(
             "behind_neighbour",
             neighbour=report.host,
             config_version=config_version,
             their_config_version=self.newest_config_version,
-            newest_target=cached_target_revision,
-            their_newest_target=self.newest_target_revision,
+            newest_target=newest_target,
+            their_newest_target=self.newest_target_position,
             relayed=self.relay_client.is_fresh(),
         )
         self.relay_client.catch_up(self.newest_peer_ip)
@@ -228,13 +228,15 @@
                 suspects = self.listed_tokens(self.suspicions.own_suspects(now))
                 unreachable = self.listed_tokens(self.suspicions.own_unreachable(now))
             configuration = self.view.configuration
+            newest_target = self.cache.newest(documents.TARGETS_KIND)
             report = self.peers.make_report(
                 configuration.version if configuration else 0,
-                self.cache.newest(documents.TARGETS_KIND),
+                newest_target.revision,
                 self.watches_store(),
                 loads,
                 suspects,
                 unreachable,
+                max(0, newest_target.era),
             )
             self.peers.send_report(report)
 
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -55,7 +55,8 @@
     of a target; `reads` is true while the host watches the store and its calls succeed.
     `loads` holds the numbers of open flows and running requests by token of the target;
     `suspects` are the tokens of suspected targets, `lost` of unreachable ones.
-    `neighbours` are IP addresses of some of the host's peers.
+    `neighbours` are IP addresses of some of the host's peers. `era` is the store's era
+    of the host's targets, 0 if the host or the store knows of none.
     """
 
     host: str
@@ -69,6 +70,12 @@
     suspects: list[int]
     lost: list[int]
     neighbours: list[str]
+    era: int = 0
+
+    @property
+    def newest_position(self) -> fleetmodel.Position:
+        """Where in the store's history the latest change of a target was."""
+        return fleetmodel.Position(self.era, self.newest_target)
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -273,6 +280,7 @@
         store_fails: bool,
         has_all_kinds: bool,
         avoided_ips: collections.abc.Collection[str],
+        era: int = 0,
     ) -> str | None:
         """Return the address of the host to receive documents from, None for none.
 
@@ -292,6 +300,9 @@
             the store, a host that has a configuration is chosen.
         avoided_ips : collection of str
             Addresses that must not be returned.
+        era : int
+            Latest era of the store that this host knows. Hosts that have not heard of
+            the store's return are not chosen.
         """
         reports = [
             peer.report
@@ -299,6 +310,7 @@
             if peer.report is not None
             and now - peer.heard_at <= UPSTREAM_REPORT_AGE_LIMIT_S
             and peer.ip not in avoided_ips
+            and peer.report.era >= era
         ]
         if store_fails:
             # A host with an older version may not have noticed yet that its own calls
@@ -351,6 +363,7 @@
         loads: dict[int, tuple[int, float]],
         suspects: list[int],
         lost: list[int],
+        era: int = 0,
     ) -> Report:
         """Return this host's report, with the addresses of some peers at times.
 
@@ -375,6 +388,7 @@
             neighbours=self.rng.sample(
                 known_ips, min(len(known_ips), MAX_PEER_ADDRESSES)
             ),
+            era=era,
         )
 
     def addressed_reports(self, report: Report) -> list[tuple[Report, list[str]]]:
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -89,17 +89,32 @@
         # whether the hosts that have run longer go first then.
         self.next_call_at = 0.0
         self.yields = False
-        self.era = 0  # The store's era in the latest response.
+        # The other watchers of the process; they check the store when this one finds
+        # that it has come back from a copy.
+        self.siblings: list[KindWatcher] = []
 
     @property
     def watches_store(self) -> bool:
-        """Whether this kind is watched at the store itself and the last call worked."""
-        return self.watching and not self.failures and not self.relay_is_fresh
+        """Whether this kind is watched at the store itself and the last call worked.
+
+        False while the cache has the kind from before the store's return.
+        """
+        return (
+            self.watching
+            and not self.failures
+            and not self.relay_is_fresh
+            and self.is_current
+        )
 
     @property
     def listed(self) -> bool:
         """Whether a listing of the kind, or a relayed one, is in the cache."""
-        return self.cache.revision(self.kind) > 0
+        return self.cache.position(self.kind) > documentcache.UNLISTED
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the cache has the kind from the latest known era of the store."""
+        return self.cache.position(self.kind).era >= self.cache.era
 
     def run(self) -> None:
         """Watch the kind until the process ends; makes no calls while it is relayed."""
@@ -143,17 +158,22 @@
 
     def poll_once(self) -> None:
         """List or watch the kind once and apply the result; sleep after a failure."""
-        revision = self.cache.revision(self.kind)
-        complete = revision == 0 or self.history_gone
+        position = self.cache.position(self.kind)
+        was_listed = self.listed
+        complete = not was_listed or self.history_gone or not self.is_current
         if complete:
             # The first listing of targets may be stale: a watch from its revision, or
             # the upstream, supplies later changes, and nothing runs at a target that
             # has left, since each datagram names its target. What operators have
             # withdrawn must not come back with a restart. After HISTORY_GONE the
             # changes since a stale revision may be lost.
-            allow_stale = revision == 0 and self.kind == documents.TARGETS_KIND
+            allow_stale = not was_listed and self.kind == documents.TARGETS_KIND
             result = store.list_kind(
-                self.connection, self.kind, LISTING_TIMEOUT_S, allow_stale
+                self.connection,
+                self.kind,
+                LISTING_TIMEOUT_S,
+                allow_stale,
+                self.cache.era,
             )
         else:
             # After a failure the watchers of the other kinds wait until this call
@@ -165,7 +185,7 @@
             )
             self.watching = True
             result = store.watch_kind(
-                self.connection, self.kind, revision, duration_s, response_limit_s
+                self.connection, self.kind, position, duration_s, response_limit_s
             )
         outcome = result.value if isinstance(result, store.Failure) else "ok"
         self.counts.add("store_calls_total", kind=self.kind, outcome=outcome)
@@ -189,39 +209,46 @@
             self.log.write(
                 "kind_listed",
                 kind=self.kind,
-                era=self.connection.era,
-                revision=result.revision,
-                previous_revision=revision,
+                revision=result.position,
+                previous_revision=position,
                 documents=len(result.documents),
-                newest=max((d.revision for d in result.documents), default=0),
+                kept=len(self.cache.kinds[self.kind].unstored),
                 applied=applied,
             )
-        if not revision:
+        if not was_listed:
             self.yield_after(UPSTREAM_WAIT_S)
         elif result.documents:
             self.next_call_at = clock.steady_s() + BATCH_DELAY_S
 
     def note_era(self) -> None:
-        """Log the store's era in the latest response if it has changed."""
-        era = self.connection.era
-        if era != self.era:
-            self.log.write(
-                "store_era_changed",
-                kind=self.kind,
-                era=era,
-                previous=self.era,
-                revision=self.cache.revision(self.kind),
-            )
-            self.era = era
-            self.counts.set_gauge("store_era", era)
+        """Record a new era of the store, and let the other watchers check the store.
+
+        Their watches may be open since before the store's return and would then wait
+        for revisions that have another meaning by now.
+        """
+        previous = self.cache.era
+        if not self.cache.raise_era(self.connection.era):
+            return
+        self.log.write(
+            "store_era_changed",
+            kind=self.kind,
+            era=self.cache.era,
+            previous=previous,
+            revision=self.cache.position(self.kind),
+        )
+        if previous:
+            for watcher in self.siblings:
+                watcher.check_now()
 
     def handle_failure(self, failure: store.Failure) -> None:
         """Record a failed call and sleep for a random delay that spreads the hosts.
 
-        `Failure.HISTORY_GONE` only causes a new listing, without delay.
+        `Failure.HISTORY_GONE` and `Failure.ERA_CHANGED` only cause a new listing,
+        without delay.
         """
-        if failure is store.Failure.HISTORY_GONE:
-            self.log.write("history_gone", kind=self.kind)
+        if failure in (store.Failure.HISTORY_GONE, store.Failure.ERA_CHANGED):
+            if failure is store.Failure.HISTORY_GONE:
+                self.log.write("history_gone", kind=self.kind)
             self.history_gone = True
             return
         self.failures += 1
@@ -231,7 +258,7 @@
                 "store_lost",
                 kind=self.kind,
                 reason=failure.value,
-                revision=self.cache.revision(self.kind),
+                revision=self.cache.position(self.kind),
             )
         max_delay_s = min(
             MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2 ** min(self.failures, 10)
@@ -270,11 +297,13 @@
         self.counts.add("unreadable_documents_total", kind=kind)
         self.log.write("document_unreadable", kind=kind, problem=str(error))
 
-    def apply_configuration(self, listing: store.Listing, complete: bool) -> None:
+    def apply_configuration(
+        self, changed: list[documents.StoredDocument], complete: bool
+    ) -> None:
         """Apply the operator's configuration; an unreadable one changes nothing."""
         del complete
-        for document in listing.documents:
-            if document.name != documents.CONFIG_NAME or not document.content:
+        for document in changed:
+            if document.name != documents.CONFIG_NAME or document.removed:
                 continue
             try:
                 configuration = documents.decode_configuration(document.content)
@@ -283,43 +312,37 @@
                 continue
             self.view.apply_configuration(configuration)
 
-    def apply_targets(self, listing: store.Listing, complete: bool) -> None:
-        """Apply documents of targets; an unreadable one counts as removed.
+    def apply_targets(
+        self, changed: list[documents.StoredDocument], complete: bool
+    ) -> None:
+        """Apply changed documents of targets; an unreadable one counts as removed.
 
-        With `complete`, targets that the listing lacks are removed.
+        With `complete`, all targets are known from now on.
         """
-        readable = {}
-        for document in listing.documents:
+        for document in changed:
             target = None
-            if document.content:
+            if not document.removed:
                 try:
                     target = documents.decode_target(document.name, document.content)
                 except documents.DocumentError as error:
                     self.record_unreadable(documents.TARGETS_KIND, error)
             if target is not None:
-                readable[document.name] = (target, document.revision)
-                if not complete:
-                    self.view.apply_target(target, document.revision)
-            elif not complete:
-                readable.pop(document.name, None)
-                self.view.remove_target(document.name, document.revision)
-        if complete:
-            self.view.replace_targets(readable, listing.revision)
+                self.view.apply_target(target, document.position)
+            else:
+                self.view.remove_target(document.name, document.position)
+        self.view.targets_listed = self.view.targets_listed or complete
 
-    def apply_overrides(self, listing: store.Listing, complete: bool) -> None:
-        """Apply overrides in the order in which the store accepted them.
+    def apply_overrides(
+        self, changed: list[documents.StoredDocument], complete: bool
+    ) -> None:
+        """Apply changed overrides in the order in which the store accepted them.
 
-        With `complete`, overrides that the listing lacks are removed; an unreadable
-        one changes nothing.
+        An unreadable one changes nothing. With `complete`, all overrides are known from
+        now on.
         """
-        by_revision = sorted(listing.documents, key=lambda document: document.revision)
-        if complete:
-            listed_names = {document.name for document in by_revision}
-            for name in [n for n in self.view.overrides if n not in listed_names]:
-                self.view.remove_override(name)
-            self.view.overrides_listed = True
-        for document in by_revision:
-            if not document.content:
+        self.view.overrides_listed = self.view.overrides_listed or complete
+        for document in sorted(changed, key=lambda document: document.position):
+            if document.removed:
                 self.view.remove_override(document.name)
                 continue
             try:
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -207,7 +207,7 @@
             Older(rank), self.cache, self.log, self.counts
         )
         self.connections = []
-        first = None
+        watchers = []
         for kind in appliers:
             connection = store.Connection(address)
             self.connections.append(connection)
@@ -218,9 +218,11 @@
                 relay_client,
                 self.log,
                 self.counts,
-                first,
+                watchers[0] if watchers else None,
             )
-            first = first or found
+            watchers.append(found)
+        for found in watchers:
+            found.siblings = [other for other in watchers if other is not found]
             threading.Thread(target=found.run, daemon=True).start()
 
 
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -162,14 +162,20 @@
     os.close(write)
 
 
+def at_revision(revision):
+    """Return a point of the store's history before any return from a copy."""
+    return fleetmodel.Position(1, revision)
+
+
 def make_rig(context, targets, version=5, routes=None):
     """Set up a forwarder that knows a configuration and targets."""
     behave.use_fixture(steady_clock, context)
     context.fleet = Rig(context)
     routes = [route()] if routes is None else routes
     context.fleet.view.apply_configuration(configuration(version, *routes))
-    listed = {found.name: (found, 10) for found in targets}
-    context.fleet.view.replace_targets(listed, 10)
+    for found in targets:
+        context.fleet.view.apply_target(found, at_revision(10))
+    context.fleet.view.targets_listed = True
     context.fleet.view.overrides_listed = True
     context.ports = iter(range(2_000, 60_000))
     return context.fleet
@@ -479,7 +485,7 @@
     """Let the target announce that it leaves."""
     number = struct.unpack(">Q", context.fleet.sent[-1][0][:8])[0]
     context.leaving = target(number, leaving=True)
-    context.fleet.view.apply_target(context.leaving, 20)
+    context.fleet.view.apply_target(context.leaving, at_revision(20))
 
 
 @behave.when("{count:d} more flows open")
@@ -515,14 +521,14 @@
 @behave.when("the entry of that target vanishes")
 def vanish(context):
     """Remove the entry of the only target."""
-    assert context.fleet.view.remove_target("i-1", 20)
+    assert context.fleet.view.remove_target("i-1", at_revision(20))
 
 
 @behave.when("the entries of {count:d} targets vanish")
 def vanish_some(context, count):
     """Remove the entries of the first targets."""
     for number in range(1, count + 1):
-        assert context.fleet.view.remove_target(f"i-{number:x}", 20)
+        assert context.fleet.view.remove_target(f"i-{number:x}", at_revision(20))
 
 
 @behave.then("flows are at {count:d} targets")
@@ -542,7 +548,7 @@
 @behave.when("the entry is back")
 def come_back(context):
     """List the target again."""
-    assert context.fleet.view.apply_target(target(1), 30)
+    assert context.fleet.view.apply_target(target(1), at_revision(30))
 
 
 @behave.when("{seconds:g} s pass")
@@ -587,8 +593,8 @@
 )
 def step_target_back(context):
     """Offer an older entry."""
-    assert context.fleet.view.apply_target(target(1, leaving=True), 50)
-    assert not context.fleet.view.apply_target(target(1), 40)
+    assert context.fleet.view.apply_target(target(1, leaving=True), at_revision(50))
+    assert not context.fleet.view.apply_target(target(1), at_revision(40))
 
 
 @behave.then("about 300 are at the first service")
@@ -612,7 +618,7 @@
     weight = 0 if kind == "weight" else None
     expires_at_s = 1.0 if "expired" in override else None
     if "leaving" in override:
-        view.apply_target(target(1, leaving=True), 20)
+        view.apply_target(target(1, leaving=True), at_revision(20))
     found = fleetmodel.Override("o1", kind, "desk", "i-1", weight, expires_at_s)
     view.apply_override(found)
     if "removed" in override:
@@ -785,7 +791,7 @@
             rig.handle(packet(2_003, ACK, token=1, acknowledged=position))
     elif how == "after a restart":
         again = target(1, born=2)
-        assert rig.view.apply_target(again, 90)
+        assert rig.view.apply_target(again, at_revision(90))
     rig.forwarder.handle_probe_result(
         tried, connectionprobes.ProbeResult(verdict), began_at
     )
--- a/features/steps/fleet_trust_steps.py
+++ b/features/steps/fleet_trust_steps.py
@@ -94,7 +94,8 @@
     revision = context.store.revision
     context.store.put("servers", "i-000000bb", entry(8))
     for _ in range(2):
-        result = store.watch_kind(connection, "servers", revision, 0.3, CALL_TIMEOUT_S)
+        position = fleetmodel.Position(context.store.era, revision)
+        result = store.watch_kind(connection, "servers", position, 0.3, CALL_TIMEOUT_S)
         context.watches.append(result)
         revision = context.store.put("config", "main", configuration(9))
     connection.close()
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -1,7 +1,22 @@
 """Steps for a store that returns from a copy of its data."""
 
+import json
+import threading
+import time
+
 import behave
-from fleet_feed_steps import configuration, eventually
+from fleet_feed_steps import TOO_DEEP, configuration, entry, eventually
+
+from basilgate import documentcache, fleetmodel, forwarder
+from platformedge import documents, store
+
+FIRST = "i-00000001"
+JOINED = "i-000000bb"
+
+
+def listed_again(host, era):
+    """Return whether a host has all kinds from an era of the store."""
+    return all(cached.position.era == era for cached in host.cache.kinds.values())
 
 
 @behave.given("a copy of the store")
@@ -28,9 +43,249 @@
     context.store.restore(context.copy)
 
 
+@behave.when("the store keeps waiting watches and returns from the copy")
+def restore_with_watches(context):
+    """Lose what was written since the copy, while the watches wait on."""
+    context.store.faults.keep_watches = True
+    context.store.restore(context.copy)
+
+
 @behave.when("the operator writes configuration {again:d} again, and then {version:d}")
 def write_again(context, again, version):
     """Write two versions, of which the second gets the last revision before."""
     with context.store.changed:
         context.store.put_quietly("config", "main", configuration(again))
         context.store.put_quietly("config", "main", configuration(version))
+
+
+@behave.then("the host has listed all kinds again")
+def check_listed(context):
+    """Wait until all kinds are known from the store's present era."""
+    eventually(
+        lambda: listed_again(context.host, context.store.era), "all kinds are listed"
+    )
+
+
+@behave.then("a host that starts from its documents has configuration {version:d}")
+def check_passed_on(context, version):
+    """Check what a starting host gets."""
+    with context.host.cache.changed:
+        listing, complete = context.host.cache.changes_after("config", 0)
+    assert complete
+    (document,) = listing.documents
+    assert documents.decode_configuration(document.content).version == version
+
+
+def put_first(context, **changes):
+    """Write an entry of the first target."""
+    context.store.put("servers", FIRST, entry(1, **changes))
+
+
+@behave.when("the first target {change}")
+def change_first(context, change):
+    """Change the first target's entry, and wait until the host has the change."""
+    view = context.host.view
+    if change == "lapses":
+        context.store.remove("servers", FIRST)
+        eventually(lambda: FIRST not in view.entries, "the entry is removed")
+        return
+    born = 1_700_000_009_999 if change.startswith("starts") else 1_700_000_000_000
+    state = "ready" if change.startswith("reports") else "draining"
+    put_first(context, state=state, born=born, seq=7)
+    wanted = state == "draining"
+    eventually(lambda: view.entries[FIRST].target.leaving == wanted, change)
+    if change.endswith(" leaves") and not change.startswith("announces that"):
+        context.store.remove("servers", FIRST)
+        eventually(lambda: FIRST not in view.entries, "the entry is removed")
+
+
+def admits(context, name):
+    """Return whether the host gives a target new flows."""
+    found = context.host.view.candidates("desk")
+    return name in [entry.target.name for entry in found]
+
+
+@behave.then("new flows at the first target: {admitted}")
+def check_first(context, admitted):
+    """Check the first target, once an entry that lapsed has closed."""
+    assert admits(context, FIRST) == (admitted == "yes")
+
+
+@behave.given("the first target announces that it leaves in the store")
+def announce(context):
+    """Write that the first target leaves."""
+    context.copy = context.store.copy()
+    put_first(context, state="draining", seq=7)
+
+
+@behave.given(
+    "the store returns from a copy without that, and the target reports again"
+)
+def restore_before_start(context):
+    """Return, and let the target write another report."""
+    context.store.restore(context.copy)
+    put_first(context, state="draining", seq=8)
+
+
+@behave.when("a target joins")
+def join(context):
+    """Add a target."""
+    context.store.put("servers", JOINED, entry(8))
+    if context.store.era == 1:
+        entries = context.host.view.entries
+        eventually(lambda: JOINED in entries, "the host knows the target")
+
+
+@behave.when("the joined target reports again")
+def report_again(context):
+    """Add the target once more."""
+    context.store.put("servers", JOINED, entry(8, seq=9))
+
+
+@behave.when("{seconds:g} s have passed")
+def wait(context, seconds):
+    """Wait until all kinds are listed, and then for a time."""
+    check_listed(context)
+    time.sleep(seconds)
+
+
+@behave.then("new flows at the joined target: {admitted}")
+def check_joined(context, admitted):
+    """Check the target that the copy lacks."""
+    check_listed(context)
+    assert admits(context, JOINED) == (admitted == "yes")
+
+
+@behave.when("the store's answers state the era {era}")
+def state_era(context, era):
+    """Let answers state another era, and end the watches."""
+    context.store.faults.era = "" if era == "none" else era
+    for connection in context.host.connections:
+        connection.abort()
+
+
+@behave.when("configuration {version:d} is written by the operator")
+def write(context, version):
+    """Write a configuration."""
+    context.store.put("config", "main", configuration(version))
+
+
+@behave.then("configuration {version:d} is not taken from them")
+def check_not_taken(context, version):
+    """Check that calls are made, and their answers are not used."""
+    calls = sum(context.store.calls.values())
+    eventually(lambda: sum(context.store.calls.values()) > calls + 3, "calls that fail")
+    assert context.host.view.configuration.version != version
+    assert context.host.cache.era == 1
+
+
+@behave.when("the store's answers state their era again")
+def state_own_era(context):
+    """Let answers state the store's era."""
+    context.store.faults.era = None
+
+
+def content_of(kind, state):
+    """Return content, and whether it was removed, for a state in words."""
+    removed = state.startswith("removed")
+    if kind == "config":
+        spec = configuration(int(state.split()[1]))
+    elif kind == "servers":
+        number = int(state.split()[1].strip(",")) if "report" in state else 6
+        readiness = "draining" if "draining" in state else "ready"
+        spec = entry(1, seq=number, state=readiness)
+    else:
+        created = float(state.split()[-1])
+        spec = {"kind": "pull", "service": "desk", "target": FIRST}
+        spec["created_at_s"] = created
+    content = TOO_DEEP.content if state == "unreadable" else json.dumps(spec).encode()
+    return content, removed
+
+
+def cache_with(kind, document):
+    """Return a cache that has one document."""
+    cache = documentcache.DocumentCache({kind: lambda *_: None}, threading.Lock())
+    live = document if not document.removed else as_live(document)
+    cache.update(kind, store.Listing([live], live.position, []), True)
+    if document.removed:
+        cache.update(kind, store.Listing([document], document.position, []), False)
+    return cache
+
+
+def as_live(document):
+    """Return a removed document as it was a revision earlier."""
+    position = document.position._replace(revision=document.position.revision - 1)
+    return documents.StoredDocument(document.name, position, document.content)
+
+
+@behave.given("a document of kind {kind} from before the return: {state}")
+def make_before(context, kind, state):
+    """Make a document of the first era; its revision is the higher one."""
+    content, removed = content_of(kind, state)
+    position = fleetmodel.Position(1, 16)
+    name = "main" if kind == "config" else FIRST
+    context.kind = kind
+    context.before = documents.StoredDocument(name, position, content, removed)
+
+
+@behave.given("the one that the copy has: {state}")
+def make_copy(context, state):
+    """Make a document of the second era."""
+    content, removed = content_of(context.kind, state)
+    position = fleetmodel.Position(2, 12)
+    name = context.before.name
+    context.after = documents.StoredDocument(name, position, content, removed)
+
+
+@behave.then("both hosts keep the one from {winner}, whoever sends first")
+def check_exchange(context, winner):
+    """Let each side receive the other's document."""
+    expected = context.before if winner == "before" else context.after
+    for mine, theirs in (
+        (context.before, context.after),
+        (context.after, context.before),
+    ):
+        cache = cache_with(context.kind, mine)
+        # What was known before the return also comes as a change, the copy as a whole.
+        is_copy = theirs is context.after
+        sent = [] if is_copy and theirs.removed else [theirs]
+        listing = store.Listing(sent, theirs.position, [])
+        cache.update(context.kind, listing, is_copy)
+        kept = cache.kinds[context.kind].documents[mine.name]
+        assert kept.removed == expected.removed
+        assert kept.removed or kept.content == expected.content
+        assert kept.position.era == 2 or context.kind == "config", kept.position
+        assert cache.position(context.kind) == context.after.position
+
+
+@behave.when("all three hosts have configuration 7")
+def bring_all(context):
+    """Write configurations and wait for all hosts."""
+    for version in (6, 7):
+        context.store.put("config", "main", configuration(version))
+        eventually(
+            lambda version=version: all(h.version() == version for h in context.hosts),
+            f"configuration {version} on all hosts",
+        )
+
+
+@behave.when("the store {trouble} for the first host and returns from the copy")
+def restore_for_others(context, trouble):
+    """Let the first host's connections hear nothing of the return."""
+    if trouble == "falls silent":
+        context.relay_source_faults.silent = True
+    else:
+        context.store.faults.keep_watches = True
+    context.store.restore(context.copy)
+
+
+@behave.then("the first host's documents are from after the return")
+def check_first_host(context):
+    """Check the metrics of the first host."""
+    first = context.hosts[0]
+
+    def knows_era():
+        _, page = first.get(forwarder.METRICS_PORT, forwarder.METRICS_PATH)
+        return f"\nbasilgate_store_era {context.store.era}\n" in page
+
+    eventually(knows_era, "the first host knows the new era")
--- a/lab/fleetpath.py
+++ b/lab/fleetpath.py
@@ -71,7 +71,7 @@
             found = fleetmodel.Target(
                 f"i-{number:x}", number, number, "desk", sink, "d1", 3, False, 0.0, 1
             )
-            self.view.apply_target(found, number)
+            self.view.apply_target(found, fleetmodel.Position(1, number))
         self.view.targets_listed = self.view.overrides_listed = True
         self.port = 0
 
