Write overrides again that the store lost, and keep releases known

Operators saw an override that they had been told is accepted vanish from the store when it came back from a copy, and one that they had released come back: the platform's operator and the targets write their documents again, but nobody wrote the overrides. Running hosts keep them in force since; a host that starts afterwards, and whoever asks, learned only the copy.

Cause: the overrides are the system's own documents, and their only durable place can go back. A removal left no trace, so that a host could not tell a removal from a loss.

Now a host that watches the store and knows an override to be newer than the store's writes it again, under the condition that the store's own one is unchanged; hosts take turns by their start, 0.5 s apart, so that one alone writes. A release is stored as a release for an hour (with an end in the past, which earlier versions understand), so that a host which slept through the return and the release does not set the override again. A new override's time is later than that of the release which it follows, whatever the operators' clocks say.

Ruled out: to write whatever is missing at once from every host (as many writes as hosts), and to take what the copy has as the operators' will (what they were told would not hold).

--- a/basilgate/counters.py
+++ b/basilgate/counters.py
@@ -25,6 +25,8 @@
     "unexpected_errors_total": "Unexpected errors, by activity",
     "unreadable_documents_total": "Documents of the store that cannot be read, by kind",
     "invariant_violations_total": "Broken invariants, by invariant",
+    "overrides_restored_total": "Overrides that the store had lost, by outcome of the "
+    "write",
     "store_era": "Number that rises each time the store returns from a copy",
     "config_version": "Version of the configuration in force",
     "targets": "Targets known, by state",
--- a/basilgate/fleetcommands.py
+++ b/basilgate/fleetcommands.py
@@ -17,6 +17,9 @@
 # fails if the name exists, a removal if the revision has changed.
 MAX_WRITE_ATTEMPTS = 5
 RETRY_DELAY_S = 0.5  # Five attempts cover an outage of 2 s.
+# Time for which released overrides stay in the store. Copies of the store are some
+# seconds old, and hosts are suspended for less.
+RELEASE_RETENTION_S = 3_600.0
 OVERRIDE_KINDS = ("pin", "pull", "weight", "drain")
 
 Exit = outcomes.Exit
@@ -26,13 +29,15 @@
 class StoreContents(msgspec.Struct):
     """Decoded contents of the store, listed kind by kind.
 
-    Targets and overrides are listed by name with their revisions. `configuration` is
-    None if the store has no readable one; `unreadable` holds the decoding errors.
+    Targets and overrides are listed by name with their revisions, released overrides as
+    their records. `configuration` is None if the store has no readable one;
+    `unreadable` holds the decoding errors.
     """
 
     configuration: fleetmodel.Configuration | None
     targets: dict[str, tuple[fleetmodel.Target, int]]
     overrides: dict[str, tuple[fleetmodel.Override, int]]
+    released: dict[str, tuple[documents.WireOverride, int]]
     unreadable: list[str]
 
 
@@ -44,7 +49,7 @@
 
 def read_store(connection: store.Connection) -> StoreContents | store.Failure:
     """List and decode the configuration, targets and overrides in the store."""
-    contents = StoreContents(None, {}, {}, [])
+    contents = StoreContents(None, {}, {}, {}, [])
     listings = {}
     for kind in (
         documents.CONFIG_KIND,
@@ -81,7 +86,11 @@
         contents.targets[name] = (target, revision)
     elif kind == documents.OVERRIDES_KIND:
         override = documents.decode_override(name, document.content)
-        contents.overrides[name] = (override, revision)
+        if override.released:
+            record = documents.decode_override_record(document.content)
+            contents.released[name] = (record, revision)
+        else:
+            contents.overrides[name] = (override, revision)
     elif name == documents.CONFIG_NAME:
         contents.configuration = documents.decode_configuration(document.content)
 
@@ -251,7 +260,15 @@
         return not_accepted(contents, "cannot read the store")
     if target not in contents.targets:
         return Outcome(Exit.NOT_FOUND, [f"not found: target {target}"])
+    delete_old_releases(connection, contents)
     operation_id = secrets.token_hex(8)
+    created_at_s = clock.unix_s()
+    released_revision = None
+    if target in contents.released:
+        record, released_revision = contents.released[target]
+        # Hosts compare these times if the store comes back from a copy; the clock of
+        # the colleague's machine may be ahead.
+        created_at_s = max(created_at_s, record.created_at_s + 1e-3)
     content: dict[str, typing.Any] = {
         "kind": kind,
         "service": contents.targets[target][0].service,
@@ -261,14 +278,19 @@
         "operator": operator,
         "reason": reason,
         "operation": operation_id,
-        "created_at_s": clock.unix_s(),
+        "created_at_s": created_at_s,
     }
     maybe_applied = False
 
     def write() -> store.Failure | None:
         nonlocal maybe_applied
         result = store.write_object(
-            connection, documents.OVERRIDES_KIND, target, content, None, CALL_TIMEOUT_S
+            connection,
+            documents.OVERRIDES_KIND,
+            target,
+            content,
+            released_revision,
+            CALL_TIMEOUT_S,
         )
         maybe_applied = maybe_applied or (
             result is not None and may_have_been_applied(result)
@@ -284,6 +306,20 @@
     return outcome_unknown(action) if maybe_applied else not_accepted(failure, action)
 
 
+def delete_old_releases(connection: store.Connection, contents: StoreContents) -> None:
+    """Remove the records of overrides that were released long ago.
+
+    A record that cannot be removed now is left to the next command.
+    """
+    oldest_s = clock.unix_s() - RELEASE_RETENTION_S
+    for name, (record, revision) in list(contents.released.items()):
+        if (record.released_at_s or 0.0) < oldest_s:
+            del contents.released[name]
+            store.delete_object(
+                connection, documents.OVERRIDES_KIND, name, revision, CALL_TIMEOUT_S
+            )
+
+
 def resolve_conflict(
     connection: store.Connection, name: str, operation_id: str, action: str
 ) -> Outcome:
@@ -311,11 +347,18 @@
 def remove_override(
     connection: store.Connection, target: str, revision: int
 ) -> Outcome:
-    """Remove the override of a target if it still has the given revision."""
+    """Release the override of a target if it still has the given revision.
+
+    The override stays in the store as released: were it only removed, hosts could not
+    tell its removal from its loss when the store comes back from a copy.
+    """
     stored = store.get_object(
         connection, documents.OVERRIDES_KIND, target, CALL_TIMEOUT_S
     )
-    if stored is store.Failure.NOT_FOUND:
+    record = decode_record(stored)
+    if stored is store.Failure.NOT_FOUND or (
+        record is not None and record.released_at_s is not None
+    ):
         return Outcome(Exit.NOT_FOUND, [f"not found: override of {target}"])
     if isinstance(stored, store.Failure):
         return not_accepted(stored, "cannot read the store")
@@ -323,13 +366,29 @@
         line = f"conflict: override of {target} has revision "
         line += f"{stored.position.revision} by now; nothing was changed, "
         return Outcome(Exit.CONFLICT, [line + "look at it again"])
+    operation_id = secrets.token_hex(8)
+    released = None
+    if record is not None:
+        # Hosts of earlier versions know no releases, but an end in the past.
+        released = {
+            **msgspec.json.decode(stored.content),
+            "expires_at_s": 0.0,
+            "released_at_s": clock.unix_s(),
+            "operation": operation_id,
+        }
     maybe_applied = False
 
     def write() -> store.Failure | None:
         nonlocal maybe_applied
-        result = store.delete_object(
-            connection, documents.OVERRIDES_KIND, target, revision, CALL_TIMEOUT_S
-        )
+        kind = documents.OVERRIDES_KIND
+        if released is None:
+            result = store.delete_object(
+                connection, kind, target, revision, CALL_TIMEOUT_S
+            )
+        else:
+            result = store.write_object(
+                connection, kind, target, released, revision, CALL_TIMEOUT_S
+            )
         maybe_applied = maybe_applied or (
             result is not None and may_have_been_applied(result)
         )
@@ -337,6 +396,15 @@
 
     failure = write_with_retries(write)
     action = f"removal of the override of {target}"
+    if failure is store.Failure.CONFLICT and maybe_applied:
+        # An attempt whose response was lost may be the one that it conflicts with.
+        found = decode_record(
+            store.get_object(
+                connection, documents.OVERRIDES_KIND, target, CALL_TIMEOUT_S
+            )
+        )
+        if found is not None and found.operation == operation_id:
+            failure = None
     if failure is None or (failure is store.Failure.NOT_FOUND and maybe_applied):
         return Outcome(Exit.OK, [f"accepted: {action}"])
     if failure is store.Failure.CONFLICT or failure is store.Failure.NOT_FOUND:
@@ -345,6 +413,18 @@
     return outcome_unknown(action) if maybe_applied else not_accepted(failure, action)
 
 
+def decode_record(
+    stored: documents.StoredDocument | store.Failure,
+) -> documents.WireOverride | None:
+    """Return the record of an override, None if there is no readable one."""
+    if isinstance(stored, store.Failure):
+        return None
+    try:
+        return documents.decode_override_record(stored.content)
+    except documents.DocumentError:
+        return None
+
+
 def show_overrides(connection: store.Connection) -> Outcome:
     """Show all overrides with the revisions that are needed to remove them."""
     listing = store.list_kind(connection, documents.OVERRIDES_KIND, CALL_TIMEOUT_S)
@@ -358,6 +438,8 @@
         except documents.DocumentError as error:
             problems.append(str(error))
             continue
+        if override.released_at_s is not None:
+            continue
         weight = str(override.weight) if override.weight is not None else "-"
         expires = (
             "-" if override.expires_at_s is None else f"{override.expires_at_s:.0f}"
--- a/basilgate/fleetmodel.py
+++ b/basilgate/fleetmodel.py
@@ -181,6 +181,8 @@
         Weight of the target in a ``weight`` override, None in the others.
     expires_at_s : float or None
         Unix time in seconds at which the override ends, None if it does not expire.
+    released : bool
+        Whether an operator has released the override, so that it has no effect.
     """
 
     name: str
@@ -189,6 +191,7 @@
     target: str
     weight: int | None
     expires_at_s: float | None
+    released: bool = False
 
 
 class HostSettings(msgspec.Struct, frozen=True, gc=False):
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -22,6 +22,7 @@
     fleetview,
     flowtable,
     forwarding,
+    overriderestore,
     peerreports,
     peertable,
     statuspages,
@@ -159,6 +160,15 @@
             self.log,
         )
 
+        self.restorer = overriderestore.OverrideRestorer(
+            store.Connection(settings.store, reused=False),
+            self.cache,
+            self.peers,
+            self.reports.watches_store,
+            self.log,
+            self.counts,
+        )
+
     def store_fails(self) -> bool:
         """Return whether the last call to the store failed for any kind of document."""
         return any(watcher.failures > 0 for watcher in self.watchers)
@@ -328,6 +338,7 @@
         }
         loops["maintenance"] = self.maintain
         loops["relay"] = self.relay_client.run
+        loops["restore_overrides"] = self.restorer.run
         loops["reports_in"] = self.reports.receive_reports
         loops["reports_out"] = self.reports.send_reports
         for listener in self.open_listeners():
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -348,6 +348,17 @@
             for peer in list(self.peers.values())
         )
 
+    def reader_rank(self, now: float) -> int:
+        """Return how many peers that watch the store have run longer, in any domain."""
+        own_order = (self.started_ms, self.settings.own_ip)
+        return sum(
+            peer.report is not None
+            and peer.report.reads
+            and now - peer.heard_at <= UPSTREAM_REPORT_AGE_LIMIT_S
+            and start_order(peer.report) < own_order
+            for peer in list(self.peers.values())
+        )
+
     def upstream_hash(self, report: Report) -> int:
         """Return a stable hash of this host and a peer.
 
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -350,4 +350,7 @@
             except documents.DocumentError as error:
                 self.record_unreadable(documents.OVERRIDES_KIND, error)
                 continue
-            self.view.apply_override(override)
+            if override.released:
+                self.view.remove_override(document.name)
+            else:
+                self.view.apply_override(override)
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -1,17 +1,20 @@
 """Steps for a store that returns from a copy of its data."""
 
 import json
+import signal
 import threading
 import time
 
 import behave
+import fleet_commands_steps
 from fleet_feed_steps import TOO_DEEP, configuration, entry, eventually
 
-from basilgate import documentcache, fleetmodel, forwarder
+from basilgate import documentcache, fleetmodel, forwarder, outcomes
 from platformedge import documents, store
 
 FIRST = "i-00000001"
 JOINED = "i-000000bb"
+OVERRIDES = documents.OVERRIDES_KIND
 
 
 def listed_again(host, era):
@@ -289,3 +292,147 @@
         return f"\nbasilgate_store_era {context.store.era}\n" in page
 
     eventually(knows_era, "the first host knows the new era")
+
+
+def stored_override(context):
+    """Return the store's record of the first target's override, empty without one."""
+    held = context.store.kinds[OVERRIDES].get(FIRST)
+    return held["spec"] if held is not None else {}
+
+
+def last_override_event(host):
+    """Return the latest event of a host about the first target's override."""
+    events = [
+        line.split("event=")[1].split()[0]
+        for line in host.log().splitlines()
+        if f"override={FIRST}" in line and "event=override_" in line
+    ]
+    return next((e for e in reversed(events) if e != "override_restored"), "")
+
+
+def wait_for_all(context, event):
+    """Wait until an event is the last one on all hosts."""
+    eventually(
+        lambda: all(last_override_event(host) == event for host in context.hosts),
+        f"{event} on all hosts",
+    )
+
+
+@behave.when("a copy of the store is made")
+def copy_now(context):
+    """Keep the store as it is now."""
+    copy_store(context)
+
+
+@behave.when("all hosts have the override")
+def wait_in_force(context):
+    """Wait until the override is in force on all hosts."""
+    wait_for_all(context, "override_in_force")
+
+
+@behave.when("all hosts have given it up")
+@behave.then("all hosts have given it up")
+def wait_removed(context):
+    """Wait until the override is in force on no host."""
+    wait_for_all(context, "override_removed")
+
+
+@behave.then("the store holds the override of i-00000001 by Ana again")
+def check_written_again(context):
+    """Wait for the write of a host."""
+    eventually(
+        lambda: stored_override(context).get("operator") == "Ana", "the override"
+    )
+    assert stored_override(context).get("released_at_s") is None
+
+
+@behave.then("no host has given it up")
+def check_kept(context):
+    """Check that the override was in force all the time."""
+    for host in context.hosts:
+        assert "event=override_removed" not in host.log()
+
+
+@behave.then("one host alone has written it")
+def check_writers(context):
+    """Count the hosts that wrote, after the others could have done so too."""
+    time.sleep(1.5)
+    writers = [host for host in context.hosts if "override_restored" in host.log()]
+    assert len(writers) == 1, [host.ip for host in writers]
+
+
+@behave.then("the store knows again that the override of i-00000001 is released")
+def check_released_again(context):
+    """Wait for the write of a host."""
+    eventually(
+        lambda: stored_override(context).get("released_at_s") is not None, "the release"
+    )
+
+
+@behave.then("no host has put it in force again")
+def check_not_in_force(context):
+    """Check that each host put it in force once."""
+    for host in context.hosts:
+        assert host.log().count("event=override_in_force") == 1
+
+
+@behave.then("fleet explain i-00000001 shows no override")
+def check_explained(context):
+    """Check what operators see."""
+    shown = fleet_commands_steps.call(context, "explain", FIRST)
+    assert "new flows: yes (ready)" in shown, shown
+    shown = fleet_commands_steps.call(context, "overrides", "--output", "json")
+    assert json.loads(shown)["overrides"] == [], shown
+
+
+@behave.then("the operator learns which of the two is in force")
+def check_either(context):
+    """Check that the command told which override is in force."""
+    accepted = context.exit == outcomes.Exit.OK
+    assert accepted or "has the override pull by Ana" in context.output
+    context.expected = "drain" if accepted else "pull"
+
+
+@behave.then("all hosts have what the store holds")
+def check_same(context):
+    """Compare store and hosts, after hosts could have written."""
+    time.sleep(2.0)
+    assert stored_override(context)["kind"] == context.expected
+
+    def in_force(host):
+        lines = [
+            line for line in host.log().splitlines() if "override_in_force" in line
+        ]
+        return f"kind={context.expected} " in lines[-1]
+
+    eventually(lambda: all(map(in_force, context.hosts)), f"{context.expected}")
+
+
+@behave.when("all hosts are suspended")
+def suspend_all(context):
+    """Stop all processes."""
+    for host in context.hosts:
+        host.process.send_signal(signal.SIGSTOP)
+
+
+@behave.when("all hosts go on")
+def resume_all(context):
+    """Let all processes go on."""
+    for host in context.hosts:
+        host.process.send_signal(signal.SIGCONT)
+
+
+@behave.then("the override stays released for {seconds:g} s")
+def check_stays_released(context, seconds):
+    """Check that no host writes the override again."""
+    time.sleep(seconds)
+    assert stored_override(context).get("released_at_s") is not None
+    wait_removed(context)
+
+
+@behave.given("a record of an override of {target} that was released 2 h ago")
+def add_old_release(context, target):
+    """Write a release as the command does."""
+    spec = {"kind": "pull", "service": "desk", "target": target, "operator": "Ion"}
+    spec |= {"expires_at_s": 0.0, "released_at_s": time.time() - 7_200}
+    context.store.put(OVERRIDES, target, spec)
--- a/features/store_return.feature
+++ b/features/store_return.feature
@@ -139,3 +139,72 @@
       | trouble             |
       | falls silent        |
       | keeps its watches   |
+
+  Scenario: An override that the copy lacks stays in force and is written again
+    Given a store with 2 targets
+    And a copy of the store
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And an operator sets pull on i-00000001
+    And all hosts have the override
+    And the store returns from the copy
+    Then the store holds the override of i-00000001 by Ana again
+    And no host has given it up
+    And one host alone has written it
+
+  Scenario: A released override that the copy has stays released
+    Given a store with 2 targets
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And an operator sets pull on i-00000001
+    And all hosts have the override
+    And a copy of the store is made
+    And the operator removes the override
+    And all hosts have given it up
+    And the store returns from the copy
+    Then the store knows again that the override of i-00000001 is released
+    And no host has put it in force again
+    And fleet explain i-00000001 shows no override
+
+  Scenario: An override that is set after the return is not replaced by an older one
+    Given a store with 2 targets
+    And a copy of the store
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And an operator sets pull on i-00000001
+    And all hosts have the override
+    And the store returns from the copy
+    And an operator sets drain on i-00000001
+    Then the operator learns which of the two is in force
+    And all hosts have what the store holds
+
+  Scenario: Hosts that sleep through a return and a release do not undo the release
+    Given a store with 2 targets
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And an operator sets pull on i-00000001
+    And all hosts have the override
+    And a copy of the store is made
+    And all hosts are suspended
+    And the store returns from the copy
+    And the operator removes the override
+    And all hosts go on
+    Then all hosts have given it up
+    And the override stays released for 3 s
+
+  Scenario: A host that starts after an override was released does not apply it
+    Given a store with 2 targets
+    When an operator sets pull on i-00000001
+    And the operator removes the override
+    And a host follows the store
+    Then the host admits new flows at i-00000001: yes
+    When an operator sets pull on i-00000001
+    Then the command ends with OK
+    And the host admits new flows at i-00000001: no
+
+  Scenario: Records of overrides that were released long ago are removed
+    Given a store with 2 targets
+    And a record of an override of i-00000009 that was released 2 h ago
+    When an operator sets pull on i-00000001
+    Then the command ends with OK
+    And there is one override by Ana
