Refuse a release whose revision is from before the store's return

An operator who released an override at the revision that he had been shown could release a colleague's instead, and was told that it is accepted: after the store's return from a copy the same revision may stand for another override of the target.

Cause: the command compared, and made its write conditional on, a bare revision; revisions are given out again. Now overrides and targets are shown with the store's era before the revision ("2.31"), release compares both, and a write during which the era changes ends with "unknown whether accepted", since its condition has lost its meaning.

--- a/basilgate/fleetcmdline.py
+++ b/basilgate/fleetcmdline.py
@@ -5,7 +5,15 @@
 
 import fire.decorators
 
-from basilgate import clock, cmdoptions, errors, fleetcommands, fleettrace, outcomes
+from basilgate import (
+    clock,
+    cmdoptions,
+    errors,
+    fleetcommands,
+    fleetmodel,
+    fleettrace,
+    outcomes,
+)
 from platformedge import documents
 from platformedge import store as fleetstore
 
@@ -168,10 +176,13 @@
             store: IPv4 address and port of the store; default $BASILGATE_STORE.
             output: text or json.
         """
-        expected_revision = int(cmdoptions.number(revision, "revision"))
+        position = fleetmodel.Position.parse(revision)
+        if position is None:
+            message = f"revision {revision}: expected one that `fleet overrides` shows"
+            raise errors.UsageError(message)
         return perform_on_fleet(
             lambda connection: fleetcommands.remove_override(
-                connection, target, expected_revision
+                connection, target, position
             ),
             store,
             output,
--- a/basilgate/fleetcommands.py
+++ b/basilgate/fleetcommands.py
@@ -29,15 +29,15 @@
 class StoreContents(msgspec.Struct):
     """Decoded contents of the store, listed kind by kind.
 
-    Targets and overrides are listed by name with their revisions, released overrides as
+    Targets and overrides are listed by name with their positions, released overrides as
     their records. `configuration` is None if the store has no readable one;
     `unreadable` holds the decoding errors.
     """
 
     configuration: fleetmodel.Configuration | None
-    targets: dict[str, tuple[fleetmodel.Target, int]]
-    overrides: dict[str, tuple[fleetmodel.Override, int]]
-    released: dict[str, tuple[documents.WireOverride, int]]
+    targets: dict[str, tuple[fleetmodel.Target, fleetmodel.Position]]
+    overrides: dict[str, tuple[fleetmodel.Override, fleetmodel.Position]]
+    released: dict[str, tuple[documents.WireOverride, fleetmodel.Position]]
     unreadable: list[str]
 
 
@@ -80,17 +80,17 @@
     documents.DocumentError
         If the document cannot be decoded.
     """
-    name, revision = document.name, document.position.revision
+    name, position = document.name, document.position
     if kind == documents.TARGETS_KIND:
         target = documents.decode_target(name, document.content)
-        contents.targets[name] = (target, revision)
+        contents.targets[name] = (target, position)
     elif kind == documents.OVERRIDES_KIND:
         override = documents.decode_override(name, document.content)
         if override.released:
             record = documents.decode_override_record(document.content)
-            contents.released[name] = (record, revision)
+            contents.released[name] = (record, position)
         else:
-            contents.overrides[name] = (override, revision)
+            contents.overrides[name] = (override, position)
     elif name == documents.CONFIG_NAME:
         contents.configuration = documents.decode_configuration(document.content)
 
@@ -147,7 +147,7 @@
         return not_accepted(contents, "cannot read the store")
     active = active_overrides(contents)
     rows = [("TARGET", "SERVICE", "DOMAIN", "ADDRESS", "NEW FLOWS", "WHY", "REVISION")]
-    for name, (target, revision) in sorted(contents.targets.items()):
+    for name, (target, position) in sorted(contents.targets.items()):
         if service and target.service != service:
             continue
         admitted, reason = new_flow_admission(
@@ -164,7 +164,7 @@
                 address,
                 admitted_text,
                 reason,
-                str(revision),
+                str(position),
             )
         )
     lines = outcomes.table(rows)
@@ -184,7 +184,7 @@
         related = [problem for problem in contents.unreadable if name in problem]
         lines = [f"not found: target {name} has no readable entry", *related]
         return Outcome(Exit.NOT_FOUND, lines)
-    target, revision = contents.targets[name]
+    target, position = contents.targets[name]
     override = active_overrides(contents).get((target.service, name))
     admitted, reason = new_flow_admission(target, override)
     routes = contents.configuration.routes.values() if contents.configuration else []
@@ -192,7 +192,7 @@
         route.name for route in routes if target.service in dict(route.split)
     ]
     lines = [
-        f"target {name} of {target.service} in {target.domain}, revision {revision}",
+        f"target {name} of {target.service} in {target.domain}, revision {position}",
         f"new flows: {'yes' if admitted else 'no'} ({reason})",
         f"routes: {', '.join(sorted(route_names)) or 'none leads to its service'}",
     ]
@@ -265,7 +265,8 @@
     created_at_s = clock.unix_s()
     released_revision = None
     if target in contents.released:
-        record, released_revision = contents.released[target]
+        record, released_at = contents.released[target]
+        released_revision = released_at.revision
         # Hosts compare these times if the store comes back from a copy; the clock of
         # the colleague's machine may be ahead.
         created_at_s = max(created_at_s, record.created_at_s + 1e-3)
@@ -312,11 +313,15 @@
     A record that cannot be removed now is left to the next command.
     """
     oldest_s = clock.unix_s() - RELEASE_RETENTION_S
-    for name, (record, revision) in list(contents.released.items()):
+    for name, (record, position) in list(contents.released.items()):
         if (record.released_at_s or 0.0) < oldest_s:
             del contents.released[name]
             store.delete_object(
-                connection, documents.OVERRIDES_KIND, name, revision, CALL_TIMEOUT_S
+                connection,
+                documents.OVERRIDES_KIND,
+                name,
+                position.revision,
+                CALL_TIMEOUT_S,
             )
 
 
@@ -345,9 +350,9 @@
 
 
 def remove_override(
-    connection: store.Connection, target: str, revision: int
+    connection: store.Connection, target: str, position: fleetmodel.Position
 ) -> Outcome:
-    """Release the override of a target if it still has the given revision.
+    """Release the override of a target if it still has the given position.
 
     The override stays in the store as released: were it only removed, hosts could not
     tell its removal from its loss when the store comes back from a copy.
@@ -362,9 +367,9 @@
         return Outcome(Exit.NOT_FOUND, [f"not found: override of {target}"])
     if isinstance(stored, store.Failure):
         return not_accepted(stored, "cannot read the store")
-    if stored.position.revision != revision:
+    if stored.position != position:
         line = f"conflict: override of {target} has revision "
-        line += f"{stored.position.revision} by now; nothing was changed, "
+        line += f"{stored.position} by now; nothing was changed, "
         return Outcome(Exit.CONFLICT, [line + "look at it again"])
     operation_id = secrets.token_hex(8)
     released = None
@@ -383,11 +388,16 @@
         kind = documents.OVERRIDES_KIND
         if released is None:
             result = store.delete_object(
-                connection, kind, target, revision, CALL_TIMEOUT_S
+                connection, kind, target, position.revision, CALL_TIMEOUT_S
             )
         else:
             result = store.write_object(
-                connection, kind, target, released, revision, CALL_TIMEOUT_S
+                connection,
+                kind,
+                target,
+                released,
+                position.revision,
+                CALL_TIMEOUT_S,
             )
         maybe_applied = maybe_applied or (
             result is not None and may_have_been_applied(result)
@@ -405,6 +415,10 @@
         )
         if found is not None and found.operation == operation_id:
             failure = None
+    if failure is None and connection.era != position.era:
+        # The condition named a revision from before the store's return, which may
+        # stand for an override by a colleague since.
+        return outcome_unknown(action)
     if failure is None or (failure is store.Failure.NOT_FOUND and maybe_applied):
         return Outcome(Exit.OK, [f"accepted: {action}"])
     if failure is store.Failure.CONFLICT or failure is store.Failure.NOT_FOUND:
@@ -452,6 +466,6 @@
             override.reason,
             expires,
         )
-        rows.append((*row, str(document.position.revision)))
+        rows.append((*row, str(document.position)))
     lines = outcomes.table(rows) + [f"unreadable: {problem}" for problem in problems]
     return Outcome(Exit.OK, lines, {"overrides": rows[1:]})
--- a/basilgate/fleetmodel.py
+++ b/basilgate/fleetmodel.py
@@ -40,6 +40,14 @@
     def __str__(self) -> str:
         return f"{self.era}.{self.revision}" if self.era else str(self.revision)
 
+    @classmethod
+    def parse(cls, text: str) -> "Position | None":
+        """Return the position that `str` shows like this, None if there is none."""
+        era, _, revision = text.rpartition(".")
+        if not (era or "0").isdecimal() or not revision.isdecimal():
+            return None
+        return cls(int(era or "0"), int(revision))
+
 
 class Packet(msgspec.Struct, gc=False):
     """One packet of a caller, with the header fields that decide how it is routed.
--- a/features/fleet_commands.feature
+++ b/features/fleet_commands.feature
@@ -89,3 +89,16 @@
       | fleet override i-00000001 pull --weight 3 --operator Ana    |
       | fleet targets --store nowhere                               |
       | fleet targets --output xml                                  |
+      | fleet release i-00000001 1.x                                |
+      | fleet release i-00000001 -1                                 |
+
+  Scenario: A release that was meant for an override from before the store's return
+    Given a store with 2 targets
+    And a copy of the store
+    When an operator sets pull on i-00000001
+    And the operator looks at the overrides
+    And the store returns from the copy
+    And a colleague drains i-00000001, which gets the same revision
+    And the operator removes the override that was shown
+    Then the command ends with CONFLICT and names revision 2.
+    And there is one override by Ion
--- a/features/steps/fleet_commands_steps.py
+++ b/features/steps/fleet_commands_steps.py
@@ -140,3 +140,23 @@
 def call_with(context, arguments):
     """Call the command line with arguments."""
     call(context, *arguments.split()[1:])
+
+
+@behave.when("the operator looks at the overrides")
+def look(context):
+    """Keep the revision of the only override."""
+    shown = json.loads(call(context, "overrides", "--output", "json"))
+    context.shown_revision = shown["overrides"][0][-1]
+
+
+@behave.when("a colleague drains {target}, which gets the same revision")
+def drain_at_same_revision(context, target):
+    """Write a colleague's override and check its revision."""
+    drain_by_colleague(context, target)
+    assert context.shown_revision.endswith(f".{context.store.revision}")
+
+
+@behave.when("the operator removes the override that was shown")
+def remove_shown(context):
+    """Remove the override at the revision that was shown."""
+    call(context, "release", "i-00000001", context.shown_revision)
