Let a host that takes its source's place write the lost overrides, and log relayed returns

After the store's return only the host that had listed it knew which overrides the store lacks. If that host ended before it wrote them, they stayed in force on its failure domain, but the store never got them again, and a restart of all hosts would have ended them in silence. A host whose documents come from another one did not log when it learned of the return either.

Messages with overrides now carry the names of those that the store lost, with the revision of what it has instead; a document is also passed on when it is in the store again. The cache's merge of one document is split in two. kind_listed counts the documents that were kept from before the return, and is written by hosts that receive documents too.

--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -26,7 +26,9 @@
     `changed_at` holds that count, not a time, at the last change of each document.
     `digest` is the checksum at the change count `digest_changes`. `unstored` are the
     names of documents whose state the store lost when it came back from a copy, each
-    with the revision of the store's own document, None if it has none.
+    with the revision of the store's own document, None if it has none. `kept` counts
+    the documents that stayed as they were when the last listing of a later era had them
+    in an older state or not at all.
     """
 
     documents: dict[str, documents.StoredDocument]
@@ -38,6 +40,7 @@
     digest: int = 0
     digest_changes: int = 0
     unstored: dict[str, int | None] = msgspec.field(default_factory=dict)
+    kept: int = 0
 
 
 class DocumentCache:
@@ -141,6 +144,8 @@
                 removed, lost = self.missing_documents(kind, listing)
                 incoming += removed + lost
             until = max(position, cached.position)
+            if position.era > cached.position.era:
+                cached.kept = len(lost)
             cached.changes += 1
             changed = [
                 document
@@ -159,6 +164,16 @@
             self.changed.notify_all()
         return True
 
+    def add_unstored(
+        self, kind: str, unstored: collections.abc.Mapping[str, int | None]
+    ) -> None:
+        """Record documents of which another host knows that the store lost them."""
+        cached = self.kinds[kind]
+        with self.changed:
+            for name, revision in unstored.items():
+                if name in cached.documents:
+                    cached.unstored.setdefault(name, revision)
+
     def missing_documents(
         self, kind: str, listing: store.Listing
     ) -> tuple[list[documents.StoredDocument], list[documents.StoredDocument]]:
@@ -201,34 +216,27 @@
         cached = self.kinds[kind]
         name = incoming.name
         stored = cached.documents.get(name)
-        merged = incoming
-        # Revision of the store's own document, if the other one wins.
-        revision = None
-        if stored is None and incoming.position.era < until.era:
-            merged = msgspec.structs.replace(incoming, position=until)
-        elif stored is not None:
-            revision = max(stored.position, incoming.position).revision
-            merge = documentmerge.MERGES.entries.get(kind)
-            merged = (
-                merge(stored, incoming, until)
-                if merge is not None
-                else documentmerge.later(stored, incoming)
-            )
-            if merged.removed and not merged.content:
-                merged = msgspec.structs.replace(merged, content=stored.content)
-        if merged is incoming:
+        newer = newer_document(kind, stored, incoming, until)
+        was_unstored = name in cached.unstored
+        if newer is incoming:
             cached.unstored.pop(name, None)
-        elif merged is not stored and kind in documentmerge.OPERATOR_KINDS:
-            cached.unstored[name] = revision
-        differs = stored is None or (merged.content, merged.removed) != (
+        else:
+            if stored is None or incoming.position.era > stored.position.era:
+                cached.kept += 1
+            if newer is not stored and kind in documentmerge.OPERATOR_KINDS:
+                after = max(incoming.position, stored.position) if stored else None
+                cached.unstored[name] = after.revision if after else None
+        if newer.removed and not newer.content and stored is not None:
+            newer = msgspec.structs.replace(newer, content=stored.content)
+        differs = stored is None or (newer.content, newer.removed) != (
             stored.content,
             stored.removed,
         )
-        cached.documents[name] = merged
-        cached.newest = max(cached.newest, merged.position)
-        if differs:
+        cached.documents[name] = newer
+        cached.newest = max(cached.newest, newer.position)
+        if differs or was_unstored:
+            # Downstreams also need to know that the store has the document again.
             cached.changed_at[name] = cached.changes
-        cached.changed_at.setdefault(name, cached.changes)
         return differs
 
     def evict_tombstones(self, cached: KindCache) -> None:
@@ -257,3 +265,23 @@
             if (not document.removed if complete else cached.changed_at[name] > changes)
         ]
         return store.Listing(changed_documents, cached.position, []), complete
+
+
+def newer_document(
+    kind: str,
+    stored: documents.StoredDocument | None,
+    incoming: documents.StoredDocument,
+    until: fleetmodel.Position,
+) -> documents.StoredDocument:
+    """Return the newer of two states of a document, or a copy at a later position.
+
+    The copy is a state from before the store's return, which the store has lost.
+    """
+    if stored is None:
+        if incoming.position.era < until.era:
+            return msgspec.structs.replace(incoming, position=until)
+        return incoming
+    merge = documentmerge.MERGES.entries.get(kind)
+    if merge is None:
+        return documentmerge.later(stored, incoming)
+    return merge(stored, incoming, until)
--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -64,7 +64,8 @@
     store and its calls succeed. A document is its name, its revision, and its content,
     which is empty if it was removed. `era` is the store's era of all revisions, in a
     heartbeat the latest one that the upstream knows. `confirmed` holds era and revision
-    of the kinds of which the downstream has the same documents.
+    of the kinds of which the downstream has the same documents, `unstored` the names of
+    overrides that the store lost, with the revisions of those that it has instead.
     """
 
     kind: str
@@ -74,6 +75,7 @@
     reads: bool
     era: int = 0
     confirmed: dict[str, fleetmodel.Position] = {}
+    unstored: dict[str, int | None] = {}
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -211,10 +213,20 @@
                 if kind in changes and digest and digest == self.cache.digest(kind)
             }
             confirmed = {kind: self.cache.position(kind) for kind in known}
+            unstored = self.unstored_overrides()
         heartbeat = self.heartbeat()
         heartbeat.confirmed = confirmed
+        heartbeat.unstored = unstored
         return known, heartbeat
 
+    def unstored_overrides(self) -> dict[str, int | None]:
+        """Return a copy of the overrides that the store lost; needs the cache's lock.
+
+        A downstream needs them to write them again if it takes this host's place.
+        """
+        cached = self.cache.kinds.get(documents.OVERRIDES_KIND)
+        return dict(cached.unstored) if cached is not None else {}
+
     def heartbeat(self) -> DocumentFrame:
         """Return a message without documents."""
         reads = self.watches_store()
@@ -267,11 +279,13 @@
                     if message is None
                     else None
                 )
+                unstored = self.unstored_overrides()
             if unsent is not None:
                 listing, complete = unsent
-                message = self.encoded[key] = encode_message(
-                    make_frame(kind, listing, complete, reads)
-                )
+                frame = make_frame(kind, listing, complete, reads)
+                if kind == documents.OVERRIDES_KIND:
+                    frame.unstored = unstored
+                message = self.encoded[key] = encode_message(frame)
                 self.counts.add("relay_encodings_total", kind=kind)
                 while len(self.encoded) > MAX_ENCODED_MESSAGES:
                     del self.encoded[next(iter(self.encoded))]
@@ -432,10 +446,38 @@
         self.counts.add("peer_messages_total", direction="in", kind=kind)
         if not frame.kind and self.upstream == self.newer_peer_ip:
             self.caught_up = True
+        known_era = self.cache.era
         if frame.kind in self.cache.kinds:
-            self.cache.update(frame.kind, read_frame(frame), frame.complete)
-        for kind, position in frame.confirmed.items():
-            if kind in self.cache.kinds and position > self.cache.position(kind):
-                self.cache.update(kind, store.Listing([], position, []), False)
+            self.apply_documents(frame)
+        for name, position in frame.confirmed.items():
+            if name in self.cache.kinds and position > self.cache.position(name):
+                self.cache.update(name, store.Listing([], position, []), False)
+        if frame.unstored and documents.OVERRIDES_KIND in self.cache.kinds:
+            self.cache.add_unstored(documents.OVERRIDES_KIND, frame.unstored)
+        if self.cache.era > known_era:
+            self.log.write(
+                "store_era_changed",
+                kind=kind,
+                era=self.cache.era,
+                previous=known_era,
+                relay_source=self.upstream,
+            )
         is_fresh = frame.reads and frame.era >= self.cache.era
         self.fresh_until = clock.steady_s() + HEARTBEAT_TIMEOUT_S if is_fresh else 0.0
+
+    def apply_documents(self, frame: DocumentFrame) -> None:
+        """Apply the documents of a message; log it if they are from a later era."""
+        previous = self.cache.position(frame.kind)
+        listing = read_frame(frame)
+        applied = self.cache.update(frame.kind, listing, frame.complete)
+        if listing.position.era > previous.era:
+            self.log.write(
+                "kind_listed",
+                kind=frame.kind,
+                revision=listing.position,
+                previous_revision=previous,
+                documents=len(listing.documents),
+                kept=self.cache.kinds[frame.kind].kept,
+                applied=applied,
+                relay_source=self.upstream,
+            )
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -212,7 +212,7 @@
                 revision=result.position,
                 previous_revision=position,
                 documents=len(result.documents),
-                kept=len(self.cache.kinds[self.kind].unstored),
+                kept=self.cache.kinds[self.kind].kept,
                 applied=applied,
             )
         if not was_listed:
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -4,12 +4,21 @@
 import signal
 import threading
 import time
+import zlib
 
 import behave
 import fleet_commands_steps
-from fleet_feed_steps import TOO_DEEP, configuration, entry, eventually
-
-from basilgate import documentcache, fleetmodel, forwarder, outcomes
+from fleet_feed_steps import TOO_DEEP, configuration, entry, eventually, quiet_log
+
+from basilgate import (
+    counters,
+    documentcache,
+    documentrelay,
+    eventlog,
+    fleetmodel,
+    forwarder,
+    outcomes,
+)
 from platformedge import documents, store
 
 FIRST = "i-00000001"
@@ -436,3 +445,92 @@
     spec = {"kind": "pull", "service": "desk", "target": target, "operator": "Ion"}
     spec |= {"expires_at_s": 0.0, "released_at_s": time.time() - 7_200}
     context.store.put(OVERRIDES, target, spec)
+
+
+def caches_in_series(context):
+    """Make a source and another host, with the overrides of the first era."""
+    behave.use_fixture(quiet_log, context)
+    log = eventlog.EventLog(context.null, "h1")
+    appliers = {OVERRIDES: lambda *_: None}
+    context.source = documentcache.DocumentCache(appliers, threading.Lock())
+    cache = documentcache.DocumentCache(appliers, threading.Lock())
+    counts = counters.Counters()
+    context.server = documentrelay.RelayServer(
+        context.source, lambda: True, log, counts
+    )
+    context.client = documentrelay.RelayClient(None, cache, log, counts)
+    context.client.upstream = "127.0.0.9"
+
+
+def override_at(era, revision):
+    """Return the first target's override at a position."""
+    content, _ = content_of(OVERRIDES, "set at 50")
+    return documents.StoredDocument(FIRST, fleetmodel.Position(era, revision), content)
+
+
+@behave.given("an override that a source kept when the store lost it")
+def keep_override(context):
+    """List an override, and then nothing in the next era."""
+    caches_in_series(context)
+    known = override_at(1, 16)
+    context.source.update(OVERRIDES, store.Listing([known], known.position, []), True)
+    empty = store.Listing([], fleetmodel.Position(2, 12), [])
+    context.source.update(OVERRIDES, empty, True)
+
+
+def pass_on(context, sent_counts):
+    """Let the source send what the other host lacks."""
+    ((_, message),) = context.server.messages_after(sent_counts)
+    body = zlib.decompress(message[documentrelay.LENGTH_PREFIX.size :])
+    context.client.apply_frame(documentrelay.FRAME_DECODER.decode(body))
+
+
+@behave.when("another host takes the source's documents")
+def take_documents(context):
+    """Pass on all documents."""
+    context.sent_counts = {}
+    pass_on(context, context.sent_counts)
+
+
+@behave.then("it knows that the store lost the override")
+def check_known_lost(context):
+    """Check the other host's cache."""
+    cached = context.client.cache.kinds[OVERRIDES]
+    assert cached.unstored == {FIRST: None}, cached.unstored
+    assert not cached.documents[FIRST].removed
+
+
+@behave.when("the override is in the store again, and the source passes that on")
+def store_again(context):
+    """Let the source receive the change of the store."""
+    written = override_at(2, 13)
+    listing = store.Listing([written], written.position, [])
+    context.source.update(OVERRIDES, listing, False)
+    pass_on(context, context.sent_counts)
+
+
+@behave.then("it knows of no lost override")
+def check_none_lost(context):
+    """Check both caches."""
+    for cache in (context.source, context.client.cache):
+        assert cache.kinds[OVERRIDES].unstored == {}
+        assert not cache.kinds[OVERRIDES].documents[FIRST].removed
+
+
+@behave.then("configuration {version:d} is in force on the fourth host as well")
+def check_fourth(context, version):
+    """Wait for the configuration that the store no longer has."""
+    fourth = context.hosts[3]
+    eventually(lambda: fourth.version() == version, f"configuration {version}")
+
+
+@behave.then("the second host tells in its log when it learned of the return")
+def check_told(context):
+    """Check the events of a host that another one relays documents to."""
+    host = context.hosts[1]
+    eventually(
+        lambda: "event=store_era_changed" in host.log() and "era=2 " in host.log(),
+        "store_era_changed",
+    )
+    lines = [line for line in host.log().splitlines() if "event=kind_listed" in line]
+    assert any("revision=2." in line and "kept=" in line for line in lines), lines
--- a/features/store_return.feature
+++ b/features/store_return.feature
@@ -208,3 +208,21 @@
     When an operator sets pull on i-00000001
     Then the command ends with OK
     And there is one override by Ana
+
+  Scenario: A host that takes its source's place writes the lost overrides
+    Given an override that a source kept when the store lost it
+    When another host takes the source's documents
+    Then it knows that the store lost the override
+    When the override is in the store again, and the source passes that on
+    Then it knows of no lost override
+
+  Scenario: A host that starts from the copy takes the newer configuration of its peers
+    Given a store with 2 targets
+    And a copy of the store
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And all three hosts have configuration 7
+    And the store returns from the copy
+    And a fourth host starts
+    Then configuration 7 is in force on the fourth host as well
+    And the second host tells in its log when it learned of the return
