Bound the writes of lost overrides, and never prefer a listing that may be old

Found in reading the change: a host whose knowledge of a lost override was outdated would have written it four times a second for as long as the store answered with a conflict; a conflict now ends the attempts, and each attempt waits for a turn of its own. The first write waits for reports that show which hosts watch the store again, so that one host writes and not all.

An entry from a first listing that may be old could win over the current one if the target's start time had gone back; such a listing now never wins. What the log tells of a listing is put together in one place.

--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import threading
+import typing
 import zlib
 
 import msgspec
@@ -164,6 +165,18 @@
             self.changed.notify_all()
         return True
 
+    def describe_listing(
+        self, kind: str, listing: store.Listing, previous: fleetmodel.Position
+    ) -> dict[str, typing.Any]:
+        """Return what the log tells of a listing; `previous` is the position before."""
+        return {
+            "kind": kind,
+            "revision": listing.position,
+            "previous_revision": previous,
+            "documents": len(listing.documents),
+            "kept": self.kinds[kind].kept,
+        }
+
     def add_unstored(
         self, kind: str, unstored: collections.abc.Mapping[str, int | None]
     ) -> None:
@@ -174,6 +187,11 @@
                 if name in cached.documents:
                     cached.unstored.setdefault(name, revision)
 
+    def forget_unstored(self, kind: str, name: str) -> None:
+        """Record that the store's own document has changed since it lost this one."""
+        with self.changed:
+            self.kinds[kind].unstored.pop(name, None)
+
     def missing_documents(
         self, kind: str, listing: store.Listing
     ) -> tuple[list[documents.StoredDocument], list[documents.StoredDocument]]:
--- a/basilgate/documentmerge.py
+++ b/basilgate/documentmerge.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from basilgate import fleetmodel, registry
-from platformedge import documents
+from platformedge import documents, store
 
 Merge = collections.abc.Callable[
     [documents.StoredDocument, documents.StoredDocument, fleetmodel.Position],
@@ -43,11 +43,14 @@
 
     A document from before the store's return wins over one from after it if its writer
     wrote it later, by `order`. It then gets the position `until`: changes that the
-    store accepts from there on replace it.
+    store accepts from there on replace it. One from a listing that may be old never
+    wins.
     """
     after = later(cached, incoming)
     before = cached if after is incoming else incoming
-    if before.position.era == after.position.era or after.removed:
+    if before.position.era in (after.position.era, store.UNCONFIRMED_ERA):
+        return after
+    if after.removed:
         return after
     after_order = order(after.content, after.removed)
     if not after_order or order(before.content, before.removed) <= after_order:
--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -471,13 +471,7 @@
         listing = read_frame(frame)
         applied = self.cache.update(frame.kind, listing, frame.complete)
         if listing.position.era > previous.era:
+            described = self.cache.describe_listing(frame.kind, listing, previous)
             self.log.write(
-                "kind_listed",
-                kind=frame.kind,
-                revision=listing.position,
-                previous_revision=previous,
-                documents=len(listing.documents),
-                kept=self.cache.kinds[frame.kind].kept,
-                applied=applied,
-                relay_source=self.upstream,
+                "kind_listed", **described, applied=applied, relay_source=self.upstream
             )
--- a/basilgate/overriderestore.py
+++ b/basilgate/overriderestore.py
@@ -9,9 +9,11 @@
 from platformedge import documents, store
 
 CHECK_INTERVAL_S = 0.25
-# The hosts that watch the store write in the order of their start, a step apart: the
-# first one's writes reach the others within this time, so these write nothing.
-RANK_DELAY_STEP_S = 0.5
+# The hosts that watch the store write in the order of their start, a step apart, and
+# each host its next attempt: writes reach the watching hosts within this time, so that
+# the others write nothing. One step passes before the first write, until the reports
+# show which hosts watch the store again.
+TURN_S = 0.5
 MAX_DELAYED_RANKS = 8
 WRITE_TIMEOUT_S = 2.0
 
@@ -55,9 +57,9 @@
         self.watches_store = watches_store
         self.log = log
         self.counts = counts
-        # Time, in seconds of the steady clock, at which this host first had overrides
-        # to write; None without any.
-        self.found_at: float | None = None
+        # Time, in seconds of the steady clock, from which turns count: that at which
+        # this host found overrides to write, or wrote some. None without any.
+        self.turns_from: float | None = None
 
     def run(self) -> None:
         """Write lost overrides whenever there are any, until the process ends."""
@@ -69,13 +71,14 @@
         """Write all lost overrides if it is this host's turn."""
         lost = self.lost_documents() if self.watches_store() else []
         if not lost:
-            self.found_at = None
+            self.turns_from = None
             return
-        if self.found_at is None:
-            self.found_at = now
+        if self.turns_from is None:
+            self.turns_from = now
         rank = min(self.peers.reader_rank(now), MAX_DELAYED_RANKS)
-        if now < self.found_at + RANK_DELAY_STEP_S * rank:
+        if now < self.turns_from + TURN_S * (rank + 1):
             return
+        self.turns_from = now
         for document, revision in lost:
             self.restore(document, revision)
 
@@ -110,6 +113,9 @@
             result = store.delete_object(
                 self.connection, kind, name, revision, WRITE_TIMEOUT_S
             )
+        if result in (store.Failure.CONFLICT, store.Failure.NOT_FOUND):
+            # Somebody else was first; the watch brings what the store has now.
+            self.cache.forget_unstored(kind, name)
         outcome = "ok" if result is None else result.value
         self.counts.add("overrides_restored_total", outcome=outcome)
         self.log.write(
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -206,15 +206,8 @@
             self.log.write("document_unreadable", kind=self.kind, problem=problem)
         applied = self.cache.update(self.kind, result, complete)
         if complete:
-            self.log.write(
-                "kind_listed",
-                kind=self.kind,
-                revision=result.position,
-                previous_revision=position,
-                documents=len(result.documents),
-                kept=self.cache.kinds[self.kind].kept,
-                applied=applied,
-            )
+            described = self.cache.describe_listing(self.kind, result, position)
+            self.log.write("kind_listed", **described, applied=applied)
         if not was_listed:
             self.yield_after(UPSTREAM_WAIT_S)
         elif result.documents:
