Watch at once after a listing, so that hosts that start together find a source

Cause, since: the first listing of targets is followed by a current one before the kind is watched, and the delay that gathers changes (0.5 s) was also applied after that listing. A host that is to become the source watched 0.5 s later, and the turns of the others ran out. The delay now follows only changes that a watch has brought.

--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -210,7 +210,7 @@
             self.log.write("kind_listed", **described, applied=applied)
         if not was_listed:
             self.yield_after(UPSTREAM_WAIT_S)
-        elif result.documents:
+        elif result.documents and not complete:
             self.next_call_at = clock.steady_s() + BATCH_DELAY_S
 
     def note_era(self) -> None:
