Count documents as received only when the peer has said so

What callers saw: requests ran at a target up to 3.4 s after it had announced that it leaves (3 s allowed), and a configuration four versions old was used 3.9 s after the next was accepted.

Cause: a host that finds that peers know more asks one of them. It took any heartbeat for the end of the transfer, also the one with which an upstream confirms unchanged kinds before it sends the changed ones, and those of a peer that had just restarted and had nothing. It then closed the connection and counted as current up to the revision that the peer had once reported. If the asked peer refused the connection it was tried for 1 s, and the next one asked 1.25 s later.

Change: the message that ends a batch names the newest change of each kind that the downstream now has. Only that ends a transfer, and only these positions count as received. Staleness is judged by the peers' latest reports, so a peer that has restarted is no candidate. After a failed transfer the next peer is asked at once, and each one again after 1.25 s at the earliest. The log line names the asked peer, how many have newer documents, and the present upstream.

The steps of "A peer that knows more is asked" put reports into the table of peers, since staleness is judged by it. "A host that is behind catches up" also checks that the confirmation of unchanged kinds ends nothing.

--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -84,6 +84,14 @@
         cached = self.kinds[kind]
         return max(cached.newest, fleetmodel.Position(cached.position.era, 0))
 
+    def newest_reported(self, kind: str) -> fleetmodel.Position:
+        """Return the position of the latest change of a kind as told to peers.
+
+        A change from a listing that may be old counts as of the era 0.
+        """
+        newest = self.newest(kind)
+        return fleetmodel.Position(max(0, newest.era), newest.revision)
+
     def raise_era(self, era: int) -> bool:
         """Record an era of the store; return whether it is later than those known."""
         with self.changed:
--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -67,6 +67,8 @@
     of the kinds of which the downstream has the same documents, `unstored` the names of
     overrides that the store lost, with the revisions of those that it has instead.
     `held` are the evacuations that the store lost and that stay in force for a time.
+    `sent` ends a batch of messages: it holds the newest change of each kind of which
+    the downstream now has all that the upstream has, and is None in other messages.
     """
 
     kind: str
@@ -78,6 +80,7 @@
     confirmed: dict[str, fleetmodel.Position] = {}
     unstored: dict[str, int | None] = {}
     held: documentcache.Holds = {}
+    sent: dict[str, fleetmodel.Position] | None = None
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -236,6 +239,18 @@
         reads = self.watches_store()
         return DocumentFrame("", 0, False, [], reads, self.cache.era)
 
+    def end_of_batch(self, sent_counts: dict[str, int]) -> DocumentFrame:
+        """Return the heartbeat after the messages up to some change counts."""
+        heartbeat = self.heartbeat()
+        with self.cache.changed:
+            changes = self.cache.changes()
+            heartbeat.sent = {
+                kind: self.cache.newest_reported(kind)
+                for kind in changes
+                if changes[kind] and changes[kind] == sent_counts.get(kind)
+            }
+        return heartbeat
+
     def send_changes(
         self, connection: socket.socket, sent_counts: dict[str, int]
     ) -> None:
@@ -245,9 +260,8 @@
         """
         while True:
             messages = self.messages_after(sent_counts)
-            if not messages:
-                messages = [("beat", encode_message(self.heartbeat()))]
-            for kind, message in messages:
+            end = encode_message(self.end_of_batch(sent_counts))
+            for kind, message in [*messages, ("beat", end)]:
                 connection.sendall(message)
                 self.counts.add("peer_messages_total", direction="out", kind=kind)
                 self.counts.add("peer_bytes_total", len(message), direction="out")
@@ -372,11 +386,12 @@
         self.upstream = ""  # IP address; empty if not connected.
         # Time until which a host is not chosen as upstream, by its address.
         self.avoided_until: dict[str, float] = {}
-        # Address of a peer with newer documents, the time until which to use it as
-        # upstream, and whether all its documents were received.
+        # Address of a peer with newer documents, and the time until which to use it as
+        # upstream; 0 once all its documents were received or it could not send them.
         self.newer_peer_ip = ""
         self.newer_peer_until = 0.0
-        self.caught_up = False
+        # The newest change of each kind that an upstream has confirmed to have sent.
+        self.received: dict[str, fleetmodel.Position] = {}
         # Returns whether this host's calls to the store fail. `bool` returns False and
         # is used until the process sets its own function.
         self.store_fails: WatchesStore = bool
@@ -392,9 +407,12 @@
     def catch_up(self, ip: str) -> None:
         """Use the peer at `ip` as upstream for a time, even if it watches no store."""
         self.newer_peer_ip = ip
-        self.caught_up = False
         self.newer_peer_until = clock.steady_s() + CATCH_UP_TIMEOUT_S
 
+    def is_catching_up(self) -> bool:
+        """Return whether documents are being fetched from a peer with newer ones."""
+        return clock.steady_s() < self.newer_peer_until
+
     def run(self) -> None:
         """Receive documents whenever there is an upstream, until the process ends."""
         while True:
@@ -410,7 +428,7 @@
         documents.
         """
         now = clock.steady_s()
-        if now < self.newer_peer_until and not self.caught_up:
+        if now < self.newer_peer_until:
             return self.newer_peer_ip
         if self.upstream and now < self.fresh_until:
             return self.upstream
@@ -442,6 +460,8 @@
             self.log.write("relay_lost", relay_source=ip, reason="other_source")
         except (OSError, *documents.DECODE_ERRORS) as error:
             self.log.write("relay_lost", relay_source=ip, reason=str(error))
+            if ip == self.newer_peer_ip:
+                self.newer_peer_until = 0.0
         finally:
             self.fresh_until = 0.0
             self.upstream = ""
@@ -454,8 +474,6 @@
         """
         kind = frame.kind or "beat"
         self.counts.add("peer_messages_total", direction="in", kind=kind)
-        if not frame.kind and self.upstream == self.newer_peer_ip:
-            self.caught_up = True
         known_era = self.cache.era
         if frame.kind in self.cache.kinds:
             self.apply_documents(frame)
@@ -474,9 +492,19 @@
                 previous=known_era,
                 relay_source=self.upstream,
             )
+        if frame.sent is not None:
+            self.end_batch(frame.sent)
         is_fresh = frame.reads and frame.era >= self.cache.era
         self.fresh_until = clock.steady_s() + HEARTBEAT_TIMEOUT_S if is_fresh else 0.0
 
+    def end_batch(self, sent: dict[str, fleetmodel.Position]) -> None:
+        """Record what the upstream has sent; a peer that was asked has sent all."""
+        for kind, position in sent.items():
+            known = self.received.get(kind, documentcache.UNLISTED)
+            self.received[kind] = max(known, position)
+        if self.upstream == self.newer_peer_ip and self.is_catching_up():
+            self.newer_peer_until = 0.0
+
     def apply_documents(self, frame: DocumentFrame) -> None:
         """Apply the documents of a message; log it if they are from a later era."""
         previous = self.cache.position(frame.kind)
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -3,8 +3,6 @@
 import threading
 import time
 
-import msgspec
-
 from basilgate import (
     clock,
     documentcache,
@@ -25,33 +23,14 @@
 # store sends a change to all watching hosts within some milliseconds, but they wait
 # 0.5 s to batch changes (storewatch.BATCH_DELAY_S), and one call may be slow.
 STALENESS_GRACE_S = 0.9
-# Added to STALENESS_GRACE_S before the next check, so that a check has reached its time
-# limit of 1.05 s by then.
-RECHECK_DELAY_S = 0.35
+# Interval at which a stale host asks the store, and the same peer, again. A check of
+# the store has reached its time limit of 1.05 s by then.
+RECHECK_INTERVAL_S = 1.25
 # A longer gap means that the process was paused. Far longer than a timer is late, and
 # shorter than the 3 s limit for applying a change.
 PAUSE_LIMIT_S = 1.0
 
 
-class PeerKnowledge(msgspec.Struct):
-    """Newest change of one kind of document that any peer reported.
-
-    `position` is where that change was, and `peer_ip` the address of the peer that
-    reported it last. `requested` is the position for which that peer was used as
-    upstream, `confirmed` the one up to which such a peer had sent all that it has.
-    """
-
-    position: fleetmodel.Position = documentcache.UNLISTED
-    peer_ip: str = ""
-    requested: fleetmodel.Position = documentcache.UNLISTED
-    confirmed: fleetmodel.Position = documentcache.UNLISTED
-
-    def record(self, position: fleetmodel.Position, ip: str) -> None:
-        """Record a position that a peer reported."""
-        if position >= self.position:
-            self.position, self.peer_ip = position, ip
-
-
 class ReportExchange:
     """Sends reports of this host, and acts on those of the peers.
 
@@ -116,19 +95,17 @@
         # Whether this host is stopping, so that its downstreams choose another
         # upstream.
         self.stopping = False
-        # Time since which a peer has had newer documents, None if none has; the newest
-        # version of the configuration that any peer reported, and that peer's address.
+        # Time since which a peer has had newer documents, None if none has.
         self.stale_since: float | None = None
-        self.newest_config_version = 0
-        self.newest_config_ip = ""
-        # Newest changes that peers reported, by kind. They are kept apart: a peer with
-        # the newest target may not have the newest evacuation.
-        self.peer_knowledge = {
-            kind: PeerKnowledge()
+        # Kinds whose newest change each report names besides the configuration's.
+        self.reported_kinds = [
+            kind
             for kind in (documents.TARGETS_KIND, documents.EVACUATIONS_KIND)
             if kind in cache.kinds
-        }
-        self.requests = 0  # Number of times that a peer was asked for documents.
+        ]
+        # Times from which a peer, by its address, and the store may be asked again.
+        self.next_request_at: dict[str, float] = {}
+        self.next_check_at = 0.0
 
     def watches_store(self) -> bool:
         """Return whether this host watches the store and is not stopping.
@@ -156,81 +133,92 @@
 
         The store may be silent for this host, or for its upstream, while it serves
         other hosts; only the peers' reports show that. A host that watches the store
-        also checks whether the store still answers.
+        also checks whether the store still answers. If a peer cannot send what it has
+        reported, the next one is asked at once.
         """
-        self.record_knowledge(report)
-        configuration = self.view.configuration
-        config_version = configuration.version if configuration is not None else 0
-        stale_kinds = [kind for kind in self.peer_knowledge if self.is_kind_stale(kind)]
-        newer_ips = [self.peer_knowledge[kind].peer_ip for kind in stale_kinds]
-        if self.newest_config_version > config_version:
-            newer_ips.append(self.newest_config_ip)
-        if not newer_ips:
+        if self.stale_since is None and not self.is_newer(report):
+            return
+        newer_peers = [
+            peer
+            for peer in list(self.peers.peers.values())
+            if peer.report is not None
+            and now - peer.heard_at <= peertable.RECENT_AGE_S
+            and self.is_newer(peer.report)
+        ]
+        if not newer_peers:
             self.stale_since = None
             return
         if self.stale_since is None:
             self.stale_since = now
         if now - self.stale_since < STALENESS_GRACE_S:
             return
-        # Lets this check reach its time limit before the next one.
-        self.stale_since = now + RECHECK_DELAY_S
-        # Several peers may each have one kind; a silent one must not hide the others.
-        ip = newer_ips[self.requests % len(newer_ips)]
-        self.requests += 1
-        for kind, known in self.peer_knowledge.items():
-            is_asked = kind in stale_kinds and known.peer_ip == ip
-            known.requested = known.position if is_asked else known.confirmed
+        if not self.relay_client.is_catching_up():
+            self.ask_newer_peer(newer_peers, now)
+        if self.watches_store() and now >= self.next_check_at:
+            self.next_check_at = now + RECHECK_INTERVAL_S
+            for watcher in self.watchers:
+                watcher.check_now()
+
+    def ask_newer_peer(self, newer_peers: list[peertable.Peer], now: float) -> None:
+        """Fetch documents from the peer that was heard last, among those not asked."""
+        self.next_request_at = {
+            ip: at for ip, at in self.next_request_at.items() if at > now
+        }
+        unasked = [peer for peer in newer_peers if peer.ip not in self.next_request_at]
+        if not unasked:
+            return
+        peer = max(unasked, key=lambda peer: peer.heard_at)
+        self.next_request_at[peer.ip] = now + RECHECK_INTERVAL_S
+        assert peer.report is not None
         self.log.write(
             "behind_neighbour",
-            neighbour=report.host,
-            config_version=config_version,
-            their_config_version=self.newest_config_version,
-            **self.describe_knowledge(),
+            neighbour=peer.report.host,
+            ip=peer.ip,
+            config_version=self.config_version,
+            their_config_version=peer.report.config_version,
+            **self.describe_knowledge(peer.report),
+            newer_neighbours=len(newer_peers),
             relayed=self.relay_client.is_fresh(),
+            relay_source=self.relay_client.upstream or "none",
         )
-        self.relay_client.catch_up(ip)
-        if self.watches_store():
-            for watcher in self.watchers:
-                watcher.check_now()
+        self.relay_client.catch_up(peer.ip)
 
-    def record_knowledge(self, report: peertable.Report) -> None:
-        """Record what a peer knows, and what was received from the peers asked."""
-        if report.config_version >= self.newest_config_version:
-            self.newest_config_version = report.config_version
-            self.newest_config_ip = report.ip
-        reported = {
-            documents.TARGETS_KIND: report.newest_position,
-            documents.EVACUATIONS_KIND: report.newest_evacuation_position,
-        }
-        for kind, known in self.peer_knowledge.items():
-            position = reported[kind]
-            if position is not None:
-                known.record(position, report.ip)
-            if self.relay_client.caught_up:
-                known.confirmed = known.requested
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force, 0 without one."""
+        configuration = self.view.configuration
+        return configuration.version if configuration is not None else 0
 
-    def is_kind_stale(self, kind: str) -> bool:
-        """Return whether a peer has a newer document of a kind than this host.
+    def is_newer(self, report: peertable.Report) -> bool:
+        """Return whether a peer has a newer document of any kind than this host.
 
         The newest change that a peer reported may be of a document that was removed
         meanwhile, and so may never be among this host's documents.
         """
-        known = self.peer_knowledge[kind]
-        own_position = max(
-            self.cache.newest(kind), self.cache.position(kind), known.confirmed
-        )
-        return known.position > own_position
-
-    def describe_knowledge(self) -> dict[str, fleetmodel.Position]:
-        """Return the newest positions here and at the peers, as the log names them."""
+        if report.config_version > self.config_version:
+            return True
+        for kind in self.reported_kinds:
+            position = reported_position(report, kind)
+            if position is not None and position > max(
+                self.cache.newest(kind),
+                self.cache.position(kind),
+                self.relay_client.received.get(kind, documentcache.UNLISTED),
+            ):
+                return True
+        return False
+
+    def describe_knowledge(
+        self, report: peertable.Report
+    ) -> dict[str, fleetmodel.Position | None]:
+        """Return the newest positions here and at a peer, as the log names them."""
         names = {
             documents.TARGETS_KIND: "newest_target",
             documents.EVACUATIONS_KIND: "newest_evacuation",
         }
-        fields = {}
-        for kind, known in self.peer_knowledge.items():
+        fields: dict[str, fleetmodel.Position | None] = {}
+        for kind in self.reported_kinds:
             fields[names[kind]] = self.cache.newest(kind)
-            fields[f"their_{names[kind]}"] = known.position
+            fields[f"their_{names[kind]}"] = reported_position(report, kind)
         return fields
 
     def newest_evacuation(self, era: int) -> int:
@@ -283,16 +271,15 @@
                 loads = self.own_loads(now)
                 suspects = self.listed_tokens(self.suspicions.own_suspects(now))
                 unreachable = self.listed_tokens(self.suspicions.own_unreachable(now))
-            configuration = self.view.configuration
-            newest_target = self.cache.newest(documents.TARGETS_KIND)
+            newest_target = self.cache.newest_reported(documents.TARGETS_KIND)
             report = self.peers.make_report(
-                configuration.version if configuration else 0,
+                self.config_version,
                 newest_target.revision,
                 self.watches_store(),
                 loads,
                 suspects,
                 unreachable,
-                max(0, newest_target.era),
+                newest_target.era,
                 self.newest_evacuation(newest_target.era),
             )
             self.peers.send_report(report)
@@ -337,3 +324,12 @@
         """Return the tokens of the named targets that the view contains."""
         entries = [self.view.entries.get(name) for name in names]
         return [entry.target.token for entry in entries if entry is not None]
+
+
+def reported_position(
+    report: peertable.Report, kind: str
+) -> fleetmodel.Position | None:
+    """Return where a peer's latest change of a kind was, None if it knows of none."""
+    if kind == documents.EVACUATIONS_KIND:
+        return report.newest_evacuation_position
+    return report.newest_position
--- /dev/null
+++ b/features/fleet_catch_up.feature
@@ -0,0 +1,23 @@
+Feature: Hosts that are behind catch up with their peers
+  Guards against documents that a host counts as received although no peer has sent them.
+
+  Scenario: Unchanged kinds do not end the transfer of the changed ones
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target
+    When the host catches up with the peer
+    Then the host knows 6 targets
+
+  Scenario: A peer that has restarted has not sent what it reported before
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target
+    When the peer reports what it knows and starts again without documents
+    And 1.5 s of reports pass at the host
+    And another peer reports the sixth target
+    Then the host is still behind
+
+  Scenario: A peer that refuses connections does not delay the next one
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target
+    When the peer and a host that has stopped report the sixth target
+    And 3 s of reports pass at the host
+    Then the host knows 6 targets
--- a/features/steps/evacuations_steps.py
+++ b/features/steps/evacuations_steps.py
@@ -384,14 +384,19 @@
 class AskedPeers:
     """Stands for a RelayClient: notes from which peers documents are taken."""
 
+    upstream = ""
+
     def __init__(self):
         self.asked = []
-        self.caught_up = False
+        self.received = {}
 
     def catch_up(self, ip):
         """Note a wish."""
         self.asked.append(ip)
-        self.caught_up = False
+
+    def is_catching_up(self):
+        """Return False: each peer ends the connection at once."""
+        return False
 
     def is_fresh(self):
         """Return whether an upstream watches the store."""
@@ -410,6 +415,7 @@
         position = fleetmodel.Position(1, 10)
         cache.update(kind, store.Listing([], position, []), True)
     context.relay_client = AskedPeers()
+    rig.peers.peers = {}
     unused = (rig.suspicions, rig.chooser, rig.forwarder)
     context.exchange = peerreports.ReportExchange(
         rig.peers,
@@ -476,6 +482,8 @@
     for _ in range(round(seconds * 10)):
         context.fleet.now += 0.1
         for found in context.reports:
+            peer = peertable.Peer(found.ip, context.fleet.now, found)
+            context.exchange.peers.peers[found.ip] = peer
             context.exchange.check_staleness(found, context.fleet.now)
 
 
@@ -501,7 +509,10 @@
 def catch_up(context):
     """Let the peer that was asked last have sent everything."""
     context.caught_up = context.relay_client.asked[-1]
-    context.relay_client.caught_up = True
+    report = next(r for r in context.reports if r.ip == context.caught_up)
+    for kind in context.exchange.reported_kinds:
+        position = peerreports.reported_position(report, kind)
+        context.relay_client.received[kind] = position
 
 
 @behave.then("documents are taken from the other one alone")
--- a/features/steps/fleet_neighbours_steps.py
+++ b/features/steps/fleet_neighbours_steps.py
@@ -222,12 +222,18 @@
 def check_catch_up(context):
     """Check the choice, and that it ends."""
     client = context.relay_client
-    assert client.choose_upstream() == "127.0.0.99" and not client.caught_up
+    assert client.choose_upstream() == "127.0.0.99" and client.is_catching_up()
     client.upstream = "127.0.0.99"
-    client.apply_frame(documentrelay.DocumentFrame("config", 7, True, [], True))
-    assert not client.caught_up
+    # Confirms the kinds that need not be sent; documents of the others follow.
     client.apply_frame(documentrelay.DocumentFrame("", 0, False, [], True))
-    assert client.caught_up
+    assert client.is_catching_up()
+    client.apply_frame(documentrelay.DocumentFrame("config", 7, True, [], True))
+    assert client.is_catching_up()
+    position = fleetmodel.Position(0, 7)
+    client.apply_frame(
+        documentrelay.DocumentFrame("", 0, False, [], True, sent={"config": position})
+    )
+    assert not client.is_catching_up() and client.received == {"config": position}
     client.upstream, client.fresh_until = "", 0.0
     assert client.choose_upstream() == "127.0.0.20"
 
@@ -238,7 +244,7 @@
     client = context.relay_client
     context.now += documentrelay.CATCH_UP_TIMEOUT_S
     context.peers.record_report(report("127.0.0.20", NEAR, 20), context.now)
-    assert not client.caught_up and client.choose_upstream() == "127.0.0.20"
+    assert not client.received and client.choose_upstream() == "127.0.0.20"
 
 
 class StartingHost:
