Receive a batch of documents whole before another upstream is chosen

Cause: after each message a downstream asked which upstream is best. An upstream that gets its documents from a peer, since the store is silent for it, does not watch the store, so another one looked better as soon as its first message had come.

Change: another upstream is chosen at the end of a batch, or when a peer with newer documents is asked.

--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -392,6 +392,8 @@
         self.newer_peer_until = 0.0
         # The newest change of each kind that an upstream has confirmed to have sent.
         self.received: dict[str, fleetmodel.Position] = {}
+        # Whether the upstream has sent all documents that this host lacked.
+        self.batch_ended = False
         # Returns whether this host's calls to the store fail. `bool` returns False and
         # is used until the process sets its own function.
         self.store_fails: WatchesStore = bool
@@ -438,6 +440,15 @@
             now, self.store_fails(), has_all_kinds, avoided_ips, self.cache.era
         )
 
+    def may_leave(self, ip: str) -> bool:
+        """Return whether to leave the upstream at `ip`.
+
+        A batch of several kinds is received whole, since the next upstream may lack
+        the rest of it, unless a peer with newer documents takes its place.
+        """
+        chosen = self.choose_upstream()
+        return chosen != ip and (self.batch_ended or self.is_catching_up())
+
     def follow_upstream(self, ip: str) -> None:
         """Receive documents from the host at `ip` while it remains the chosen one."""
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -455,7 +466,8 @@
             send_message(connection, Subscription(self.peers.settings.name, digests))
             self.log.write("relay_connected", relay_source=ip)
             self.upstream = ip
-            while self.choose_upstream() == ip:
+            self.batch_ended = False
+            while not self.may_leave(ip):
                 self.apply_frame(FRAME_DECODER.decode(receive_message(connection)))
             self.log.write("relay_lost", relay_source=ip, reason="other_source")
         except (OSError, *documents.DECODE_ERRORS) as error:
@@ -474,6 +486,7 @@
         """
         kind = frame.kind or "beat"
         self.counts.add("peer_messages_total", direction="in", kind=kind)
+        self.batch_ended = frame.sent is not None
         known_era = self.cache.era
         if frame.kind in self.cache.kinds:
             self.apply_documents(frame)
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -15,6 +15,14 @@
     And another peer reports the sixth target
     Then the host is still behind
 
+  Scenario: A batch of documents is not cut when another upstream appears
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target and configuration 6
+    And a host that watches the store is heard
+    When the host follows the peer
+    Then the host knows 6 targets
+    And the host has configuration 6
+
   Scenario: A peer that refuses connections does not delay the next one
     Given a host and a peer that both know 5 targets and configuration 5
     And the peer alone knows a sixth target
