Say that a host watches the store only once the store has answered

Cause: a host said that it watches the store as soon as it had begun a watch, which the store may leave unanswered for 22 s. Hosts of its failure domain then chose it as upstream.

Change: the first watch after an upstream was lost is a short check, and the host counts as watching once the store has answered it. The stand-in of the store, when silent, also holds back the answers of waiting watches, as a store that is cut off does.

--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -83,7 +83,7 @@
         self.call_aborted = False
         # Whether an upstream relays the kind, so that no calls are made.
         self.relay_is_fresh = False
-        # Whether the kind was watched at the store since it was last relayed.
+        # Whether the store has answered a watch of the kind since it was last relayed.
         self.watching = False
         # Time, in seconds of the steady clock, before which no call is made, and
         # whether the hosts that have run longer go first then.
@@ -177,16 +177,17 @@
             )
         else:
             # After a failure the watchers of the other kinds wait until this call
-            # succeeds, so it must not wait for a change.
-            is_check = self.check_pending or self.failures > 0
+            # succeeds, so it must not wait for a change. Nor must the first watch,
+            # since this host becomes an upstream once the store has answered.
+            is_check = self.check_pending or self.failures > 0 or not self.watching
             duration_s = CHECK_DURATION_S if is_check else WATCH_DURATION_S
             response_limit_s = (
                 CHECK_RESPONSE_LIMIT_S if is_check else WATCH_RESPONSE_LIMIT_S
             )
-            self.watching = True
             result = store.watch_kind(
                 self.connection, self.kind, position, duration_s, response_limit_s
             )
+            self.watching = self.watching or not isinstance(result, store.Failure)
         outcome = result.value if isinstance(result, store.Failure) else "ok"
         self.counts.add("store_calls_total", kind=self.kind, outcome=outcome)
         self.note_era()
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -29,3 +29,9 @@
     When the peer and a host that has stopped report the sixth target
     And 3 s of reports pass at the host
     Then the host knows 6 targets
+
+  Scenario: A host that the store has not answered is no upstream
+    Given a store with 2 targets
+    And a store that stops answering after the first listings
+    When a host follows the store for 2 s
+    Then it does not claim to watch the store
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -207,7 +207,7 @@
             Older(rank), self.cache, self.log, self.counts
         )
         self.connections = []
-        watchers = []
+        self.watchers = watchers = []
         for kind in appliers:
             connection = store.Connection(address)
             self.connections.append(connection)
@@ -388,20 +388,19 @@
 
 
 @behave.fixture
-def split_forwarders(context, shared):
-    """Start two hosts of one failure domain and one of another."""
+def split_forwarders(context, places):
+    """Start hosts in some failure domains, some with a store address of their own.
+
+    `places` holds for each host whether it has that address, and its failure domain.
+    """
     context.peer_port = free_port()
     context.relay_source_faults = fleetstore.Faults()
     server, address = fleetstore.serve(context.store, context.relay_source_faults)
-    places = [
-        (HOSTS[0], address, "d1"),
-        (HOSTS[1], address if shared else None, "d1"),
-        (HOSTS[2], None, "d2"),
-    ]
     with tempfile.TemporaryDirectory() as context.folder:
         context.hosts = []
-        for place in places:
-            context.hosts.append(Process(context, *place))
+        for ip, (is_own, domain) in zip(HOSTS, places, strict=False):
+            found = address if is_own else None
+            context.hosts.append(Process(context, ip, found, domain))
             eventually(lambda: context.hosts[-1].status() == 200, "the host is ready")
         yield
         for host in context.hosts:
@@ -417,7 +416,15 @@
 )
 def start_split(context, address):
     """Start the hosts."""
-    behave.use_fixture(split_forwarders, context, address.startswith("the second"))
+    is_shared = address.startswith("the second")
+    places = [(True, "d1"), (is_shared, "d1"), (False, "d2")]
+    behave.use_fixture(split_forwarders, context, places)
+
+
+@behave.given("two hosts of one failure domain, the first with an address of its own")
+def start_two(context):
+    """Start the hosts."""
+    behave.use_fixture(split_forwarders, context, [(True, "d1"), (False, "d1")])
 
 
 @behave.when("the second host follows the first")
--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -123,7 +123,9 @@
     refused : str
         Calls whose path contains this are answered with 503; empty for none.
     silent : bool
-        No call is answered.
+        No call is answered, not even a watch that is waiting.
+    unanswered : str
+        Calls whose path contains this are not answered; empty for none.
     lose_answers : int
         This many writes take effect and their connection is closed unanswered.
     delay_s : float
@@ -144,6 +146,7 @@
         self.status = 0
         self.refused = ""
         self.silent = False
+        self.unanswered = ""
         self.lose_answers = 0
         self.delay_s = 0.0
         self.old: FleetStore | None = None
@@ -286,8 +289,7 @@
         self.store.calls[f"{self.command} {kind}"] += 1
         faults = self.faults
         time.sleep(faults.delay_s)
-        while faults.silent:
-            time.sleep(0.01)
+        self.wait_while_silent()
         if faults.refused and faults.refused in self.path:
             self.answer(503, {})
             return
@@ -303,8 +305,15 @@
             faults.lose_answers -= 1
             self.close_connection = True
             return
+        self.wait_while_silent()
         self.answer(status, found)
 
+    def wait_while_silent(self) -> None:
+        """Wait as long as the call in progress is not to be answered."""
+        faults = self.faults
+        while faults.silent or (faults.unanswered and faults.unanswered in self.path):
+            time.sleep(0.01)
+
     def act(
         self, kind: str, names: list[str], query: dict[str, str], body: Json
     ) -> tuple[int, Json]:
