Notice a store that is silent for the hosts that watch it

Cause: a watch without changes and a silent store look the same for the 20 s of a watch. The reports of peers show the difference only if some other host watches a store that answers.

--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -8,6 +8,10 @@
 
 WATCH_DURATION_S = 20.0  # Two thirds of the longest wait that the store allows.
 WATCH_RESPONSE_LIMIT_S = 2.0  # Time that a slow store may take beyond the wait.
+# The watches of one kind are short: until its response is due, a store that is silent
+# for this host looks like one without changes. Together with the limit of a check, half
+# of the 3 s limit for applying a change is left to get the change from a peer.
+PRIMARY_WATCH_DURATION_S = 0.7
 # A check is a watch that returns almost at once and only shows missed changes. A store
 # that does not answer it within the limit counts as silent for this host; half of the
 # 3 s limit for applying a change remains to get the change from a peer.
@@ -180,10 +184,13 @@
             # succeeds, so it must not wait for a change. Nor must the first watch,
             # since this host becomes an upstream once the store has answered.
             is_check = self.check_pending or self.failures > 0 or not self.watching
-            duration_s = CHECK_DURATION_S if is_check else WATCH_DURATION_S
-            response_limit_s = (
-                CHECK_RESPONSE_LIMIT_S if is_check else WATCH_RESPONSE_LIMIT_S
-            )
+            if is_check:
+                duration_s, response_limit_s = CHECK_DURATION_S, CHECK_RESPONSE_LIMIT_S
+            elif self.primary is None:
+                duration_s = PRIMARY_WATCH_DURATION_S
+                response_limit_s = CHECK_RESPONSE_LIMIT_S
+            else:
+                duration_s, response_limit_s = WATCH_DURATION_S, WATCH_RESPONSE_LIMIT_S
             result = store.watch_kind(
                 self.connection, self.kind, position, duration_s, response_limit_s
             )
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -35,3 +35,11 @@
     And a store that stops answering after the first listings
     When a host follows the store for 2 s
     Then it does not claim to watch the store
+
+  Scenario: The store is silent for the only host that watches it
+    Given a store with 2 targets
+    And two hosts of one failure domain, the first with an address of its own
+    When the second host follows the first
+    And the store falls silent for the first host
+    And configuration 9 is written
+    Then configuration 9 is in force on the other hosts
