Log the evidence behind each reset of a flow, its age, and the target's run

flow_reset now has the copy of a refused opening packet, and of a known flow its run and idle time; with target_unreachable also the proof, its age and run, and the time since the last reply here. target_suspected, target_tried, target_lost and target_changed have the run; target_lost_at_neighbour names the host whose proof is followed. The soak names the flow that was reset. The view tells the forwarder of each new run of a target, which only notes it so far.

--- a/basilgate/connectionprobes.py
+++ b/basilgate/connectionprobes.py
@@ -125,6 +125,7 @@
             target=target.name,
             verdict=probe_result.value,
             control=control.name if control is not None else "none",
+            run=target.started_ms,
             took_s=clock.steady_s() - started_at,
         )
         if self.on_result is not None:
--- a/basilgate/fleettrace.py
+++ b/basilgate/fleettrace.py
@@ -17,6 +17,7 @@
     "target_suspected",
     "target_tried",
     "target_lost",
+    "target_lost_at_neighbour",
     "target_removed",
     "target_changed",
 )
--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -1,5 +1,7 @@
 """What one host applies: routes, targets, overrides, and evacuations."""
 
+import collections.abc
+
 import msgspec
 
 from basilgate import clock, counters, eventlog, fleetmodel, invariants, overriderules
@@ -81,6 +83,10 @@
         self.removed: dict[str, TargetEntry] = {}
         self.by_token: dict[int, TargetEntry] = {}
         self.overrides: dict[str, fleetmodel.Override] = {}
+        # Called with each target of which a new run is listed.
+        self.on_new_run: collections.abc.Callable[[fleetmodel.Target], None] = (
+            lambda _: None
+        )
         # Names of the pins whose targets are in evacuated failure domains.
         self.suspended_pins: set[str] = set()
         # Version of the configuration that removed a route, by key of the route.
@@ -199,6 +205,8 @@
         self.candidate_cache.clear()
         self.claim_token(entry)
         self.update_suspended_pins()
+        if previous is None or run_of(previous.target) != run_of(target):
+            self.on_new_run(target)
         if (
             previous is None
             or previous.removed_at is not None
@@ -212,6 +220,7 @@
                 domain=target.domain,
                 leaving=target.leaving,
                 cold_s=target.cold_s,
+                run=target.started_ms,
                 revision=position,
             )
         return True
@@ -345,6 +354,11 @@
         return candidates
 
 
+def run_of(target: fleetmodel.Target) -> tuple[int, fleetmodel.Address]:
+    """Return what tells the runs of a target of one name apart: start and address."""
+    return target.started_ms, target.address
+
+
 def differs_beyond_cold_time(
     previous: fleetmodel.Target, target: fleetmodel.Target
 ) -> bool:
--- a/basilgate/flowtable.py
+++ b/basilgate/flowtable.py
@@ -52,6 +52,9 @@
     was_held : bool
         Whether the opening packet was held while this host started, so that its caller
         may have sent it again, or have given up, whatever the target does.
+    run : int
+        `fleetmodel.Target.started_ms` of the target's run when this host first saw the
+        flow, 0 if it is not known.
     """
 
     target: str
@@ -63,6 +66,7 @@
     request_sequence: int = 0
     retransmissions: int = 0
     was_held: bool = False
+    run: int = 0
 
 
 class Activity(msgspec.Struct, gc=False):
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import random
+import typing
 
 from basilgate import (
     clock,
@@ -97,6 +98,7 @@
         self.counts = counts
         self.invariants = invariants.Invariants(log, counts)
         self.admission = admission.Admission(view, room.RoomEstimator(chooser, counts))
+        view.on_new_run = self.begin_run
         self.handles_held = False  # Whether the packet in progress was held.
         # New flows, to be checked at their deadline: deadline in monotonic seconds, ID
         # of the flow, and name of the target. The next deadline comes first.
@@ -104,6 +106,10 @@
             collections.deque()
         )
 
+    def begin_run(self, target: fleetmodel.Target) -> None:
+        """Record that a run of a target has begun."""
+        self.suspicions.begin_run(target.name, target.started_ms)
+
     def handle_held(self, datagram: bytes) -> None:
         """Handle a packet that arrived before this host could forward it."""
         self.handles_held = True
@@ -160,20 +166,39 @@
             self.drop(reason)
             return
         position = 0 if packet.opening else packet.acknowledged
-        self.reset_flow(packet.flow, position, reason)
+        copy = packet.copy if packet.opening else None
+        self.reset_flow(packet.flow, position, reason, copy)
 
-    def reset_flow(self, flow_id: bytes, position: int, reason: reasons.Reason) -> None:
-        """Reset a flow whose caller last acknowledged a position in the byte stream."""
+    def reset_flow(
+        self,
+        flow_id: bytes,
+        position: int,
+        reason: reasons.Reason,
+        copy: int | None = None,
+    ) -> None:
+        """Reset a flow whose caller last acknowledged a position in the byte stream.
+
+        `copy` is the number of the opening packet that is refused, if it is one.
+        """
         label = reasons.label(reason)
         configuration = self.view.configuration
         flow = self.flows.flows.get(flow_id)
         self.counts.add("resets_total", reason=label)
+        details: dict[str, typing.Any] = {}
+        if copy is not None:
+            details["copy"] = copy
+        if flow is not None:
+            now = clock.steady_s()
+            details |= {"run": flow.run, "idle_s": now - flow.last_packet_at}
+            if reason is reasons.Reason.TARGET_UNREACHABLE:
+                details |= self.suspicions.describe_mark(flow.target, now)
         self.log.write(
             "flow_reset",
             flow=packets.describe_flow(flow_id),
             reason=label,
             target=flow.target if flow is not None else "none",
             config_version=configuration.version if configuration else 0,
+            **details,
         )
         self.flows.remove(flow_id)
         self.send(
@@ -266,7 +291,7 @@
             removed_at=entry.removed_at,
         )
         flow = self.flows.record_opening(packet.flow, target.name, now)
-        flow.was_held = self.handles_held
+        flow.was_held, flow.run = self.handles_held, target.started_ms
         if not flow.was_held:
             self.unanswered_openings.append(
                 (now + OPENING_TIMEOUT_S, packet.flow, target.name)
@@ -453,6 +478,7 @@
         now = clock.steady_s()
         self.measure_opening(packet.flow, target, now)
         flow = self.flows.record_packet(packet.flow, target.name, now)
+        flow.run = flow.run or target.started_ms
         self.track_progress(packet, flow, target.domain, now)
         if self.confirms_unreachable(flow, target, now):
             self.suspicions.mark_unreachable(target.name, "packets_without_reply", now)
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -238,7 +238,9 @@
             target = self.view.target_for(token)
             if target is not None and (in_own_domain or report.domain == target.domain):
                 unreachable = token in report.lost
-                self.suspicions.record_peer_failure(target.name, unreachable, now)
+                self.suspicions.record_peer_failure(
+                    target.name, unreachable, now, report.host
+                )
                 if unreachable and self.has_flows_at_risk(target, now):
                     self.forwarder.probe_target(target, now)
 
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import typing
 
 import msgspec
 
@@ -50,6 +51,13 @@
     last_unreachable_until : float
         The latest of the last two that was ever set. It survives a reply, after which
         the target may still be cold from its restart.
+    run : int
+        `fleetmodel.Target.started_ms` of the run to which the evidence belongs, 0 if
+        it is not known.
+    proof : str
+        Why the target was last marked as unreachable; empty if it never was.
+    marked_at : float
+        When this host last marked the target as unreachable; 0 if it never did.
     """
 
     suspect_until: float = 0.0
@@ -60,6 +68,13 @@
     unreachable_until: float = 0.0
     peer_unreachable_until: float = 0.0
     last_unreachable_until: float = 0.0
+    run: int = 0
+    proof: str = ""
+    marked_at: float = 0.0
+
+    def quiet_s(self, now: float) -> float | str:
+        """Return the time since the last reply here in seconds, "never" without one."""
+        return now - self.replied_at if self.replied_at else "never"
 
     def reset(self) -> None:
         """Remove all evidence, but keep when it last replied and was unreachable."""
@@ -98,6 +113,10 @@
             record = self.records[target] = FailureRecord()
         return record
 
+    def begin_run(self, target: str, run: int) -> None:
+        """Record that a target has started; `run` is as in `FailureRecord`."""
+        self.record_for(target).run = run
+
     def record_failure(
         self,
         target: str,
@@ -139,19 +158,36 @@
         record.suspect_until = now + duration_s
         self.counts.add("suspicions_total", evidence=evidence)
         self.log.write(
-            "target_suspected", target=target, evidence=evidence, pause_s=duration_s
+            "target_suspected",
+            target=target,
+            evidence=evidence,
+            pause_s=duration_s,
+            run=record.run,
+            evidence_s=now - since,
+            quiet_s=record.quiet_s(now),
         )
         return True
 
-    def record_peer_failure(self, target: str, unreachable: bool, now: float) -> None:
+    def record_peer_failure(
+        self, target: str, unreachable: bool, now: float, peer: str = ""
+    ) -> None:
         """Record a peer's suspicion, unless the target has recently replied here.
 
-        `unreachable` is whether the peer has confirmed that the target is unreachable.
+        `unreachable` is whether the peer has confirmed that the target is unreachable,
+        and `peer` its name for the log.
         """
         record = self.record_for(target)
         if now - record.replied_at > REPLY_AGE_LIMIT_S:
             record.peer_suspect_until = now + PEER_EVIDENCE_LIFETIME_S
             if unreachable:
+                if record.peer_unreachable_until <= now:
+                    self.log.write(
+                        "target_lost_at_neighbour",
+                        target=target,
+                        neighbour=peer,
+                        run=record.run,
+                        quiet_s=record.quiet_s(now),
+                    )
                 record.peer_unreachable_until = now + PEER_EVIDENCE_LIFETIME_S
                 record.last_unreachable_until = max(
                     record.last_unreachable_until, record.peer_unreachable_until
@@ -222,14 +258,26 @@
                 proof=proof,
                 evidence_count=self.evidence_count(target, now),
                 lost_at_peer=record.peer_unreachable_until > now,
-                quiet_s=now - record.replied_at if record.replied_at else "never",
+                quiet_s=record.quiet_s(now),
+                run=record.run,
             )
+        record.proof, record.marked_at = proof, now
         record.unreachable_until = now + UNREACHABLE_FOR_S
         record.last_unreachable_until = record.unreachable_until
         record.suspect_until = max(
             record.suspect_until, now + SUSPECT_AFTER_UNREACHABLE_S
         )
 
+    def describe_mark(self, target: str, now: float) -> dict[str, typing.Any]:
+        """Return what the log tells of the reason why a target's flow is reset."""
+        record = self.record_for(target)
+        return {
+            "proof": record.proof or "none",
+            "proof_s": now - record.marked_at if record.marked_at else "never",
+            "proof_run": record.run,
+            "quiet_s": record.quiet_s(now),
+        }
+
     def own_unreachable(self, now: float) -> list[str]:
         """Return the targets that this host has marked as unreachable."""
         return [
--- a/features/fleet_trace.feature
+++ b/features/fleet_trace.feature
@@ -8,6 +8,25 @@
     Then the trace of 100.64.0.7:2001>198.18.0.1:443 says target_gone
     And it shows target_suspected, target_lost, flow_reset
 
+  Scenario Outline: The reset of an open flow shows the evidence and its age
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <evidence>
+    Then the trace of 100.64.0.7:2001>198.18.0.1:443 says target_gone
+    And the line of <event> has <keys>
+
+    Examples:
+      | evidence                                              | event                    | keys                                                      |
+      | both flows repeat their requests twice without a reply | target_suspected         | run=1, evidence_s=, quiet_s=never                          |
+      | both flows repeat their requests twice without a reply | target_lost              | run=1, quiet_s=never                                       |
+      | both flows repeat their requests twice without a reply | flow_reset               | run=1, idle_s=, proof=packets_without_reply, proof_s=0, proof_run=1, quiet_s=never |
+      | a neighbour's proof and a repetition reset them        | target_lost_at_neighbour | neighbour=h2, run=1, quiet_s=never                         |
+
+  Scenario: The refusal of an opening packet shows which copy it was
+    Given a forwarder with 0 targets
+    When a flow opens
+    Then the trace of 100.64.0.7:2000>198.18.0.1:443 says not_found
+    And the line of flow_reset has copy=0
+
   Scenario: A flow whose target a trial connection found gone
     Given a forwarder with 3 targets and two flows at the first
     When the hosts of its failure domain are heard
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -296,7 +296,7 @@
     """Take over a neighbour's report."""
     rig = context.fleet
     reply_from_others(context, 50)
-    rig.suspicions.record_peer_failure("i-1", True, rig.now)
+    rig.suspicions.record_peer_failure("i-1", True, rig.now, "h2")
     rig.handle(packet(2_003, ACK, token=1, acknowledged=5))
 
 
@@ -306,6 +306,13 @@
     repeat_requests(context, context.first[:1], gaps=(0.0, 0.2))
 
 
+@behave.when("a neighbour's proof and a repetition reset them")
+def prove_at_neighbour(context):
+    """Take over a neighbour's report, and repeat a request."""
+    say_lost(context)
+    repeat_once(context)
+
+
 @behave.when("one flow repeats its request once, and another one gets a reply")
 def repeat_once_with_reply(context):
     """Repeat a request while the target acknowledges another flow."""
--- a/features/steps/fleet_trace_steps.py
+++ b/features/steps/fleet_trace_steps.py
@@ -39,6 +39,15 @@
         assert shown, (event, context.story.lines)
 
 
+@behave.then("the line of {event} has {keys}")
+def check_keys(context, event, keys):
+    """Check the keys of the event's line, and their values where they are given."""
+    (line, *_) = [s for s in context.story.lines if f" event={event} " in s]
+    for key in keys.split(", "):
+        expected = key if key.endswith("=") else f"{key} "
+        assert f" {expected}" in f"{line} ", (key, line)
+
+
 @behave.given("another host that has had configuration 9 for 5 s")
 def add_host(context):
     """Let another host be ahead, and this one have lost the store."""
--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -26,6 +26,7 @@
 
 from basilgate import forwarder
 from basilgate.policy import domainchoice
+from platformedge import packets
 from standins import fleetcaller, fleetstore, fleettarget, linkproxy, skewedhost
 
 DOMAINS = ("d1", "d1", "d2", "d2")
@@ -350,7 +351,10 @@
         if flow.ended == "reset" and flow.opened_by is not None:
             subject = f"target {flow.opened_by}"
             if not self.is_excused(subject, flow.ended_at):
-                evidence.violations.append(f"flow of a live {subject} was reset")
+                name = packets.describe_flow(flow.key)
+                evidence.violations.append(
+                    f"flow of a live {subject} was reset: {name}"
+                )
 
     def check_openings(self) -> None:
         """Check that no target got what was not for it, or openings after it left."""
