Drop a first opening packet that waited through a pause, instead of refusing it

A host that had been suspended for 2 s read the first copy of an opening packet when the caller had long opened the flow with a later copy through another host, and refused it for want of room.

The packet loop now notices a standstill of 0.3 s (its receive timeout is 0.2 s instead of 0.5 s), and opening packets are not refused until the socket's buffer is empty, or for 1 s.

features/fleet_forwarding.feature, run over the code before and after: "A paused host does not refuse flows ..." failed (a reset came) and passes.

--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -40,7 +40,13 @@
 # Larger than any valid packet, so that longer datagrams are recognized as malformed.
 MAX_DATAGRAM_BYTES = 2_048
 # Interval at which the packet loop checks whether to stop while no packet arrives.
-RECEIVE_TIMEOUT_S = 0.5
+# Callers repeat an opening packet after 0.2 s, so a pause has to be noticed that is
+# not much longer.
+RECEIVE_TIMEOUT_S = 0.2
+# Time between two packets, or checks, from which the process counts as paused.
+PACKET_PAUSE_S = 0.3
+# Time within which a host has read the packets that waited through a pause.
+BACKLOG_TIMEOUT_S = 1.0
 # The same until the host is ready; callers wait for packets that are held meanwhile.
 START_TIMEOUT_S = 0.02
 # Routers request readiness twice a second and stop sending after two failures; the rest
@@ -251,10 +257,19 @@
 
     def forward_packets(self) -> None:
         """Receive and forward packets until `stopped` is set, then those received."""
+        received_at = clock.steady_s()
+        late_until = 0.0
         while not self.stopped.is_set():
             datagram = self.receive()
+            previous_at, received_at = received_at, clock.steady_s()
+            if received_at - previous_at > PACKET_PAUSE_S:
+                # Packets may have waited in the socket's buffer for that long.
+                late_until = received_at + BACKLOG_TIMEOUT_S
+            self.forwarder.is_late = received_at < late_until
             if datagram is not None:
                 self.forward(datagram)
+            if late_until and not self.has_unread_packets():
+                late_until = 0.0
         self.forward_queued_packets()
 
     def forward(self, datagram: bytes, handle: Handle | None = None) -> None:
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -100,6 +100,8 @@
         self.admission = admission.Admission(view, room.RoomEstimator(chooser, counts))
         view.on_new_run = self.begin_run
         self.handles_held = False  # Whether the packet in progress was held.
+        # Whether it may have waited while the process was paused. Set by the receiver.
+        self.is_late = False
         # New flows, to be checked at their deadline: deadline in monotonic seconds, ID
         # of the flow, and name of the target. The next deadline comes first.
         self.unanswered_openings: collections.deque[tuple[float, bytes, str]] = (
@@ -159,10 +161,11 @@
     def reset(self, packet: fleetmodel.Packet, reason: reasons.Reason) -> None:
         """Reset the flow of a packet, so that its caller does not have to time out.
 
-        An opening packet that was held is dropped: a later copy of it may have opened
-        the flow through another host meanwhile.
+        An opening packet that was held, or waited through a pause of this host, is
+        dropped: a later copy of it may have opened the flow through another host
+        meanwhile.
         """
-        if self.handles_held and packet.opening:
+        if (self.handles_held or self.is_late) and packet.opening:
             self.drop(reason)
             return
         position = 0 if packet.opening else packet.acknowledged
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -202,6 +202,15 @@
     When both flows' requests and their repetitions are read at once
     Then nothing is reset
 
+  Scenario: A paused host does not refuse flows that callers may have opened elsewhere
+    Given a store with 2 targets
+    And three hosts of one failure domain
+    When the second host is paused for 0.8 s
+    And an opening packet to an address without route reaches it
+    Then its caller gets no reset until 0.5 s after the pause
+    When an opening packet to an address without route reaches it
+    Then its caller gets a reset
+
   Scenario: A target that resets new flows at the caller draws no more of them
     Given a forwarder with 2 targets
     When 10 flows open and those at the first target are reset there
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -2,8 +2,10 @@
 
 import collections
 import os
+import signal
 import socket
 import struct
+import threading
 
 import behave
 import hypothesis
@@ -913,3 +915,52 @@
     rig = context.fleet
     rig.forwarder.check_openings(rig.now)
     assert rig.suspicions.own_suspects(rig.now) == []
+
+
+@behave.fixture
+def caller_of_second(context):
+    """Give the socket at which a caller of the second host gets its resets."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
+        caller.bind(("127.64.0.7", context.hosts[1].port + 1))
+        context.caller = caller
+        yield
+
+
+@behave.when("the second host is paused for {seconds:g} s")
+def pause_second(context, seconds):
+    """Suspend the process of a host, and let it go on later."""
+    behave.use_fixture(caller_of_second, context)
+    process = context.hosts[1].process
+    process.send_signal(signal.SIGSTOP)
+    context.resume = threading.Timer(seconds, process.send_signal, [signal.SIGCONT])
+    context.resume.start()
+
+
+@behave.when("an opening packet to an address without route reaches it")
+def open_without_route(context):
+    """Send an opening packet of a new flow to the second host."""
+    host = context.hosts[1]
+    context.port = next(context.ports) if "ports" in context else 2_000
+    context.ports = iter(range(context.port + 1, 60_000))
+    opening = bytearray(packet(context.port, OPEN, to=444))
+    opening[22:26] = socket.inet_aton(context.caller.getsockname()[0])
+    context.caller.sendto(opening, (host.ip, host.port + 1))
+
+
+@behave.then("its caller gets no reset until {seconds:g} s after the pause")
+def check_not_refused(context, seconds):
+    """Check that nothing comes once the host goes on."""
+    context.resume.join()
+    context.caller.settimeout(seconds)
+    try:
+        found = context.caller.recv(2_048)
+    except TimeoutError:
+        return
+    raise AssertionError(found)
+
+
+@behave.then("its caller gets a reset")
+def check_refused_now(context):
+    """Check that a caller need not wait for a timeout."""
+    context.caller.settimeout(2.0)
+    assert context.caller.recv(2_048)[12] == RESET
