Reset a flow without a route only where it is known to be older than the removal

A packet that does not open its flow is now reset only if this host has forwarded packets of the flow, so that the flow is older than the removal. Otherwise it is dropped and the caller sends it again. A caller that moved to another host at the very removal of its route therefore waits for its timeout instead of a reset.

The row "a packet of a flow whose route was removed: the flow is reset" stated the fault: the host had never seen that flow. Two rows replace it, for a flow that the host knows (reset) and for one that it does not know (silence).

features/fleet_forwarding.feature, run over the code before and after: "Addresses without a route" failed for the flow that the host does not know, and passes.

--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -147,13 +147,16 @@
         self.counts.add("dropped_packets_total", reason=reasons.label(reason))
 
     def refuse_route(self, packet: fleetmodel.Packet) -> None:
-        """Reset a flow to an address without a route, or drop its packet."""
-        if packet.resetting:
-            self.drop(reasons.Reason.NO_SUCH_SERVICE)
-            return
-        if not packet.opening and packet.route not in self.view.removed_routes:
-            # The route may be newer than the configuration in force here. The caller
-            # repeats the packet.
+        """Reset a flow to an address without a route, or drop its packet.
+
+        An open flow is reset only if this host has forwarded its packets, and so knows
+        that it is older than the removal of its route. Otherwise a newer configuration
+        may have the route (again), and the caller repeats the packet.
+        """
+        is_opened_before = (
+            packet.route in self.view.removed_routes and packet.flow in self.flows.flows
+        )
+        if packet.resetting or not (packet.opening or is_opened_before):
             self.drop(reasons.Reason.NO_SUCH_SERVICE)
             return
         self.reset(packet, reasons.Reason.NO_SUCH_SERVICE)
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -37,7 +37,8 @@
     Examples:
       | packet                                       | result              |
       | an opening packet to an address without route | the flow is reset   |
-      | a packet of a flow whose route was removed    | the flow is reset   |
+      | a packet of a known flow whose route was removed | the flow is reset |
+      | a packet of an unknown flow whose route was removed | nothing is sent |
       | a later packet to an address without route    | nothing is sent     |
       | a reset to an address without route           | nothing is sent     |
       | a packet that accepts a flow                  | nothing is sent     |
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -451,9 +451,11 @@
     context.fleet.handle(packet(2_000, OPEN, to=444))
 
 
-@behave.when("a packet of a flow whose route was removed arrives")
-def send_after_removal(context):
-    """Remove the route of an open flow."""
+@behave.when("a packet of {kind} flow whose route was removed arrives")
+def send_after_removal(context, kind):
+    """Remove the route of an open flow, which this host has seen before or not."""
+    if kind == "a known":
+        context.fleet.handle(packet(2_000, ACK, token=1))
     context.fleet.view.apply_configuration(configuration(6, route(port=80)))
     context.before = len(context.fleet.sent)
     context.fleet.handle(packet(2_000, ACK, token=1, data=b"GET"))
