End the resets at a target with any reply from it

After a peer's proof and one repetition here, each data packet to the target reset its flow for 1.5 s, even if the target replied meanwhile: a reply cleared the record only if this host had counted a failure of its own, which that proof does not do.

A reply now clears the record whenever there is any evidence in it, a peer's included, so that the next report to the peers no longer names the target either.

features/fleet_forwarding.feature, run over the code before and after: "A reply ends the resets, whatever they were based on" failed for a peer's proof, and passes; for two flows' proof it passed before.

--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -194,13 +194,13 @@
                 )
 
     def record_reply(self, target: str, domain: str, now: float) -> None:
-        """Record a reply, which clears all evidence if a suspicion was recorded.
+        """Record a reply, which clears all evidence, also that of peers.
 
         `domain` is the failure domain of the target.
         """
         record = self.record_for(target)
         record.replied_at = self.domain_replied_at[domain] = now
-        if record.failures:
+        if record.failures or record.suspect_until or record.peer_suspect_until:
             if record.suspect_until > now:
                 self.log.write("target_cleared", target=target)
             record.reset()
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -192,6 +192,17 @@
     And one flow repeats its request once without a reply
     Then nothing is reset
 
+  Scenario Outline: A reply ends the resets, whatever they were based on
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <proof>
+    And the first target replies on a new flow, and a caller there sends a request
+    Then the request is forwarded, and the next report names no lost target
+
+    Examples:
+      | proof                                                  |
+      | both flows repeat their requests twice without a reply |
+      | a neighbour's proof and a repetition reset them        |
+
   Scenario: A neighbour's proof counts for nothing against a target that replies
     Given a forwarder with 3 targets and two flows at the first, others busy
     When a neighbour says that the first target is lost
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -315,6 +315,29 @@
     repeat_once(context)
 
 
+@behave.when(
+    "the first target replies on a new flow, and a caller there sends a request"
+)
+def reply_on_new_flow(context):
+    """Let the target accept a flow that was opened elsewhere, and answer there."""
+    rig = context.fleet
+    assert rig.suspicions.is_unreachable("i-1", rig.now)
+    rig.now += 0.1
+    for position in (5, 6):
+        rig.handle(packet(2_004, ACK, token=1, acknowledged=position))
+    rig.now += 0.1
+    ask = packet(2_005, ACK, sequence=1, token=1, acknowledged=5, data=b"GET")
+    context.answered = rig.handle(ask)
+
+
+@behave.then("the request is forwarded, and the next report names no lost target")
+def check_mark_ended(context):
+    """Check what was sent, and what peers are told."""
+    rig = context.fleet
+    assert [is_forwarded(sent) for sent in context.answered] == [True]
+    assert rig.suspicions.own_unreachable(rig.now) == []
+
+
 @behave.when("one flow repeats its request once, and another one gets a reply")
 def repeat_once_with_reply(context):
     """Repeat a request while the target acknowledges another flow."""
