End a peer's proof with the peer's next report that lacks it

Each report now replaces what the same peer reported before; another peer's proof stays.

features/fleet_forwarding.feature, run over the code before and after: "A neighbour's proof ends with the report that no longer has it" failed and passes; that it holds while another peer has it passed before.

--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -234,6 +234,7 @@
         A target that a peer reports as unreachable is probed if flows are at risk.
         """
         in_own_domain = report.domain == self.peers.settings.domain
+        lost = set()
         for token in report.suspects:
             target = self.view.target_for(token)
             if target is not None and (in_own_domain or report.domain == target.domain):
@@ -241,8 +242,11 @@
                 self.suspicions.record_peer_failure(
                     target.name, unreachable, now, report.host
                 )
+                if unreachable:
+                    lost.add(target.name)
                 if unreachable and self.has_flows_at_risk(target, now):
                     self.forwarder.probe_target(target, now)
+        self.suspicions.replace_peer_proofs(report.host, lost)
 
     def has_flows_at_risk(self, target: fleetmodel.Target, now: float) -> bool:
         """Return whether open flows may wait for a target that a peer cannot reach.
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -103,6 +103,8 @@
         self.log = log
         self.counts = counts
         self.records: dict[str, FailureRecord] = {}
+        # Targets that are unreachable by the last report of a peer, by its name.
+        self.lost_at_peers: dict[str, set[str]] = {}
         # When a target of a failure domain last replied, in monotonic seconds.
         self.domain_replied_at: dict[str, float] = {}
 
@@ -193,6 +195,14 @@
                     record.last_unreachable_until, record.peer_unreachable_until
                 )
 
+    def replace_peer_proofs(self, peer: str, lost: set[str]) -> None:
+        """End what a peer no longer reports as unreachable, unless another one does."""
+        ended = self.lost_at_peers.pop(peer, set()) - lost
+        if lost:
+            self.lost_at_peers[peer] = lost
+        for target in ended.difference(*self.lost_at_peers.values()):
+            self.record_for(target).peer_unreachable_until = 0.0
+
     def record_reply(self, target: str, domain: str, now: float) -> None:
         """Record a reply, which clears all evidence, also that of peers.
 
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -203,6 +203,21 @@
       | both flows repeat their requests twice without a reply |
       | a neighbour's proof and a repetition reset them        |
 
+  Scenario: A neighbour's proof ends with the report that no longer has it
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When a neighbour's report says that the first target is lost
+    And a neighbour's report says that the first target is sound
+    And one flow repeats its request once without a reply
+    Then nothing is reset
+
+  Scenario: A neighbour's proof holds while another neighbour has it as well
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When a neighbour's report says that the first target is lost
+    And another neighbour's report says that the first target is lost
+    And a neighbour's report says that the first target is sound
+    And one flow repeats its request once without a reply
+    Then both flows and an idle third one are reset
+
   Scenario: A neighbour's proof counts for nothing against a target that replies
     Given a forwarder with 3 targets and two flows at the first, others busy
     When a neighbour says that the first target is lost
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import threading
+import types
 
 import behave
 import hypothesis
@@ -16,12 +17,14 @@
     clock,
     connectionprobes,
     counters,
+    documentcache,
     eventlog,
     fleetmodel,
     fleetview,
     flowtable,
     forwarding,
     invariants,
+    peerreports,
     peertable,
     suspicion,
     targetchoice,
@@ -302,6 +305,41 @@
     rig.handle(packet(2_003, ACK, token=1, acknowledged=5))
 
 
+def exchange_of(context):
+    """Return the part of the host that acts on reports, made on first use."""
+    if "exchange" not in context:
+        rig = context.fleet
+        rig.peers.settings = types.SimpleNamespace(domain=NEAR)
+        cache = documentcache.DocumentCache({}, threading.Lock())
+        context.exchange = peerreports.ReportExchange(
+            rig.peers,
+            rig.view,
+            rig.flows,
+            rig.suspicions,
+            rig.chooser,
+            rig.forwarder,
+            cache,
+            [],
+            None,
+            threading.Lock(),
+            rig.log,
+        )
+    return context.exchange
+
+
+@behave.when("{which} neighbour's report says that the first target is {state}")
+def report_target(context, which, state):
+    """Take over a report of a host that has the targets up to the revision 10."""
+    rig = context.fleet
+    tokens = [1] if state == "lost" else []
+    name = "h3" if which == "another" else "h2"
+    report = peertable.Report(
+        name, NEAR, "10.1.0.2", 1, 5, 10, False, {}, tokens, tokens, [], era=1
+    )
+    reply_from_others(context, int(rig.now * 10) % 100)
+    exchange_of(context).apply_peer_failures(report, rig.now)
+
+
 @behave.when("one flow repeats its request once without a reply")
 def repeat_once(context):
     """Repeat the request of one flow once."""
