Start a clean record with each run of a target

Evidence, marks, peers' proofs and the interval between probes were kept under the name of a target.

A new run, told by its start and its address, now starts with an empty record; flows of the earlier run, which have ended with it, are removed from the table. Only the time until which the earlier run was unreachable stays, since the new one may be cold. Reports of peers that have not got an entry of the new run yet are ignored for that target: a report says up to which change of the targets its sender has come. The sender now reads this position before the evidence, never after it.

features/fleet_forwarding.feature, run over the code before and after: the five rows of "What was seen of an earlier run shows nothing about the next one" and "A neighbour that does not know the new run ..." for a peer that is behind failed, and pass.

--- a/basilgate/connectionprobes.py
+++ b/basilgate/connectionprobes.py
@@ -99,6 +99,10 @@
             target=self.run, args=(target, control, now), daemon=True
         ).start()
 
+    def forget(self, target: str) -> None:
+        """Allow a probe of a target, given by name, at once."""
+        self.next_probe_at.pop(target, None)
+
     def run(
         self,
         target: fleetmodel.Target,
--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -31,6 +31,9 @@
         When the entry was removed from the store, None while it is listed.
     closes_at : float or None
         From when a removed target gets no new flows, None while it is listed.
+    run_position : fleetmodel.Position or None
+        Position of the first entry of the target's run that this host applied; None
+        stands for `position`.
     """
 
     target: fleetmodel.Target
@@ -39,6 +42,7 @@
     relative_weight: float = 1.0
     removed_at: float | None = None
     closes_at: float | None = None
+    run_position: fleetmodel.Position | None = None
 
 
 class FleetView:
@@ -199,13 +203,20 @@
             and previous.removed_at is None
         ):
             return False
-        entry = TargetEntry(target, position, now + target.cold_s)
+        is_new_run = previous is None or run_of(previous.target) != run_of(target)
+        run_position = previous.run_position if previous else None
+        entry = TargetEntry(
+            target,
+            position,
+            now + target.cold_s,
+            run_position=position if is_new_run else run_position,
+        )
         self.removed.pop(target.name, None)
         self.entries[target.name] = entry
         self.candidate_cache.clear()
         self.claim_token(entry)
         self.update_suspended_pins()
-        if previous is None or run_of(previous.target) != run_of(target):
+        if is_new_run:
             self.on_new_run(target)
         if (
             previous is None
--- a/basilgate/flowtable.py
+++ b/basilgate/flowtable.py
@@ -201,6 +201,13 @@
             self.clear_request(flow)
             self.open_flows[flow.target] -= 1
 
+    def remove_flows_of(self, target: str) -> None:
+        """Remove all flows of a target."""
+        if self.open_flows[target] > 0:
+            for flow_id, flow in list(self.flows.items()):
+                if flow.target == target:
+                    self.remove(flow_id)
+
     def sweep(self, now: float, idle_timeout_s: float) -> None:
         """Remove idle flows, and requests older than `REQUEST_TIMEOUT_S`.
 
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -109,8 +109,13 @@
         )
 
     def begin_run(self, target: fleetmodel.Target) -> None:
-        """Record that a run of a target has begun."""
+        """Forget the earlier run of a target, whose flows have ended, if it had one.
+
+        What showed that the earlier run had failed shows nothing about the new one.
+        """
         self.suspicions.begin_run(target.name, target.started_ms)
+        self.flows.remove_flows_of(target.name)
+        self.prober.forget(target.name)
 
     def handle_held(self, datagram: bytes) -> None:
         """Handle a packet that arrived before this host could forward it."""
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -231,13 +231,21 @@
     def apply_peer_failures(self, report: peertable.Report, now: float) -> None:
         """Record suspicions from peers in this host's or the target's failure domain.
 
-        A target that a peer reports as unreachable is probed if flows are at risk.
+        A peer that does not have the entry of a target's present run yet speaks of an
+        earlier run. A target that a peer reports as unreachable is probed if flows are
+        at risk.
         """
         in_own_domain = report.domain == self.peers.settings.domain
         lost = set()
         for token in report.suspects:
-            target = self.view.target_for(token)
-            if target is not None and (in_own_domain or report.domain == target.domain):
+            entry = self.view.by_token.get(token)
+            if entry is None or (
+                entry.run_position is not None
+                and report.newest_position < entry.run_position
+            ):
+                continue
+            target = entry.target
+            if in_own_domain or report.domain == target.domain:
                 unreachable = token in report.lost
                 self.suspicions.record_peer_failure(
                     target.name, unreachable, now, report.host
@@ -267,6 +275,8 @@
         while True:
             time.sleep(peertable.REPORT_INTERVAL_S)
             now = clock.steady_s()
+            # Read before the evidence, which may not be older than what it states.
+            newest_target = self.cache.newest_reported(documents.TARGETS_KIND)
             with self.lock:
                 if now - last_sent_at > PAUSE_LIMIT_S:
                     self.peers.restart_silence_timers(now)
@@ -277,7 +287,6 @@
                 loads = self.own_loads(now)
                 suspects = self.listed_tokens(self.suspicions.own_suspects(now))
                 unreachable = self.listed_tokens(self.suspicions.own_unreachable(now))
-            newest_target = self.cache.newest_reported(documents.TARGETS_KIND)
             report = self.peers.make_report(
                 self.config_version,
                 newest_target.revision,
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -116,8 +116,17 @@
         return record
 
     def begin_run(self, target: str, run: int) -> None:
-        """Record that a target has started; `run` is as in `FailureRecord`."""
-        self.record_for(target).run = run
+        """Start a record for a new run of a target; `run` is as in `FailureRecord`.
+
+        Of the earlier run only the time remains until which it was unreachable, since
+        the new one may be cold.
+        """
+        previous = self.record_for(target)
+        self.records[target] = FailureRecord(
+            run=run, last_unreachable_until=previous.last_unreachable_until
+        )
+        for lost in self.lost_at_peers.values():
+            lost.discard(target)
 
     def record_failure(
         self,
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -218,6 +218,37 @@
     And one flow repeats its request once without a reply
     Then both flows and an idle third one are reset
 
+  Scenario Outline: What was seen of an earlier run shows nothing about the next one
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <evidence>
+    And a new run of the first target begins <where>
+    Then no flow of the earlier run is counted, no target is suspect, and all may be probed
+    When the caller of a new flow sends a request
+    Then the request is forwarded, and the next report names no lost target
+    When one flow repeats its request twice without a reply
+    Then no more flows than before are reset
+
+    Examples:
+      | evidence                                               | where              |
+      | both flows repeat their requests twice without a reply | at its address     |
+      | both flows repeat their requests twice without a reply | at another address |
+      | one flow repeats its request twice without a reply     | at its address     |
+      | a neighbour's report says that the first target is lost | at its address    |
+      | a flow opens at the first target and is not continued  | at its address     |
+
+  Scenario Outline: A neighbour that does not know the new run speaks of the earlier one
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When a new run of the first target begins at its address
+    And its flows send packets
+    And <which> neighbour's report says that the first target is lost
+    And one flow repeats its request once without a reply
+    Then <result>
+
+    Examples:
+      | which    | result                                   |
+      | a        | nothing is reset                         |
+      | a newer  | both flows and an idle third one are reset |
+
   Scenario: A neighbour's proof counts for nothing against a target that replies
     Given a forwarder with 3 targets and two flows at the first, others busy
     When a neighbour says that the first target is lost
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -240,6 +240,7 @@
     """Set up three flows at one target, and one at each other target."""
     rig = make_rig(context, [target(n) for n in range(1, 4)])
     context.first = (2_001, 2_002)
+    context.ports = iter(range(4_000, 60_000))
     for port in (*context.first, 2_003):
         rig.handle(packet(port, ACK, token=1, acknowledged=5))
     for port, number in ((2_010, 2), (2_011, 3)):
@@ -333,13 +334,59 @@
     rig = context.fleet
     tokens = [1] if state == "lost" else []
     name = "h3" if which == "another" else "h2"
+    revision = 90 if which == "a newer" else 10
     report = peertable.Report(
-        name, NEAR, "10.1.0.2", 1, 5, 10, False, {}, tokens, tokens, [], era=1
+        name, NEAR, "10.1.0.2", 1, 5, revision, False, {}, tokens, tokens, [], era=1
     )
     reply_from_others(context, int(rig.now * 10) % 100)
     exchange_of(context).apply_peer_failures(report, rig.now)
 
 
+@behave.when("a new run of the first target begins {where}")
+def start_again(context, where):
+    """List a new run of the target."""
+    again = target(1, born=2)
+    if where == "at another address":
+        again = msgspec.structs.replace(target(1), address=("10.1.0.9", 8_009))
+    rig = context.fleet
+    context.resets_before = len(resets(context))
+    rig.prober.next_probe_at["i-1"] = rig.now + connectionprobes.PROBE_INTERVAL_S
+    assert rig.view.apply_target(again, at_revision(90))
+
+
+@behave.then(
+    "no flow of the earlier run is counted, no target is suspect, and all may be probed"
+)
+def check_clean(context):
+    """Check what the host knows of the target, after the due time of openings."""
+    rig = context.fleet
+    assert rig.flows.open_flows["i-1"] == 0
+    assert rig.prober.next_probe_at == {}
+    rig.now += 0.11
+    check_no_suspect(context)
+    assert not rig.suspicions.is_suspect("i-1", rig.now)
+
+
+@behave.when("the caller of a new flow sends a request")
+def ask_on_new_flow(context):
+    """Send a request of a flow that was opened elsewhere."""
+    ask = packet(2_005, ACK, sequence=1, token=1, acknowledged=5, data=b"GET")
+    context.answered = context.fleet.handle(ask)
+
+
+@behave.then("no more flows than before are reset")
+def check_no_more_resets(context):
+    """Check that the evidence was not added to that against the earlier run."""
+    assert len(resets(context)) == context.resets_before
+
+
+@behave.when("its flows send packets")
+def send_on_flows(context):
+    """Let callers send a packet of each flow at the first target."""
+    for port in (*context.first, 2_003):
+        context.fleet.handle(packet(port, ACK, token=1, acknowledged=5))
+
+
 @behave.when("one flow repeats its request once without a reply")
 def repeat_once(context):
     """Repeat the request of one flow once."""
