Reset a flow that moved here after a proof only once it waits

For 1.5 s after a target was marked as unreachable, the first data packet of any flow was reset. The flows that this host knew had been reset at the mark itself; what came afterwards were flows that other hosts had opened or handled before the routers' hash changed, about which this host knew nothing, and flows of a target that was back.

Such a flow is now reset when it repeats its request, 0.2 s later. That is what a missing reset costs here.

features/fleet_forwarding.feature, run over the code before and after: "A flow that came here after the proof is reset once it waits" failed and passes.

--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -494,7 +494,10 @@
         if self.confirms_unreachable(flow, target, now):
             self.suspicions.mark_unreachable(target.name, "packets_without_reply", now)
             self.reset_flows(target, packet.flow)
-        if packet.data_bytes and self.suspicions.is_unreachable(target.name, now):
+        # The flows that were known when the target was marked have been reset then. One
+        # that came from another host, or was opened, since then may be answered.
+        is_waiting = packet.data_bytes > 0 and flow.retransmissions > 0
+        if is_waiting and self.suspicions.is_unreachable(target.name, now):
             self.reset(packet, reasons.Reason.TARGET_UNREACHABLE)
             return
         self.forward(packet, target)
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -164,6 +164,14 @@
     When both flows repeat their requests twice, and one of them gets a reply
     Then nothing is reset
 
+  Scenario: A flow that came here after the proof is reset once it waits
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When both flows repeat their requests twice without a reply
+    And the caller of a new flow sends a request
+    Then the request is forwarded
+    When the caller of the new flow repeats its request 0.2 s later
+    Then that flow is reset
+
   Scenario: One silent flow proves nothing
     Given a forwarder with 3 targets and two flows at the first, others busy
     When one flow repeats its request twice without a reply
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -374,6 +374,26 @@
     context.answered = context.fleet.handle(ask)
 
 
+@behave.then("the request is forwarded")
+def check_forwarded(context):
+    """Check what was sent for the last request."""
+    assert [is_forwarded(sent) for sent in context.answered] == [True]
+
+
+@behave.when("the caller of the new flow repeats its request {delay:g} s later")
+def repeat_on_new_flow(context, delay):
+    """Repeat the request of the flow that was opened elsewhere."""
+    context.fleet.now += delay
+    ask_on_new_flow(context)
+
+
+@behave.then("that flow is reset")
+def check_new_flow_reset(context):
+    """Check the last reset."""
+    assert [is_forwarded(sent) for sent in context.answered] == [False]
+    assert resets(context)[-1] == 2_005
+
+
 @behave.then("no more flows than before are reset")
 def check_no_more_resets(context):
     """Check that the evidence was not added to that against the earlier run."""
@@ -419,7 +439,7 @@
 def check_mark_ended(context):
     """Check what was sent, and what peers are told."""
     rig = context.fleet
-    assert [is_forwarded(sent) for sent in context.answered] == [True]
+    check_forwarded(context)
     assert rig.suspicions.own_unreachable(rig.now) == []
 
 
