Count evidence of flows together only if it is of the same time

The proof by packets needs two flows that wait.

A flow's evidence now counts for 4 s, the time until the store removes the entry of a failed target.

features/fleet_forwarding.feature, run over the code before and after: "Flows prove a loss together only if they wait at the same time" failed for 60 s, and passes; for 1 s it passed before.

--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -25,6 +25,9 @@
 # Lasts until the store has removed a failed target's entry: three missed heartbeats and
 # a late watch response.
 SUSPECT_AFTER_UNREACHABLE_S = 4.0
+# Age up to which a flow's evidence counts together with that of others. Those of a
+# failed target wait at the same time; lost packets of a live one are single events.
+EVIDENCE_LIFETIME_S = 4.0
 # Under load a live target replies many times within this time.
 REPLY_AGE_LIMIT_S = 0.5
 
@@ -42,8 +45,9 @@
         When the target last replied to a flow of this host; 0 if it never did.
     peer_suspect_until : float
         When the suspicion that a peer has reported ends; 0 without one.
-    flows : set of bytes
-        Flows that gave evidence since the record was last reset.
+    flows : dict of bytes to float
+        Flows that gave evidence since the record was last reset, each with the time of
+        its last one.
     unreachable_until : float
         Until when this host resets flows to the target; 0 if it never did.
     peer_unreachable_until : float
@@ -64,7 +68,7 @@
     failures: int = 0
     replied_at: float = 0.0
     peer_suspect_until: float = 0.0
-    flows: set[bytes] = msgspec.field(default_factory=set)
+    flows: dict[bytes, float] = msgspec.field(default_factory=dict)
     unreachable_until: float = 0.0
     peer_unreachable_until: float = 0.0
     last_unreachable_until: float = 0.0
@@ -161,7 +165,7 @@
         if record.replied_at > since:
             return False
         if flow_id is not None:
-            record.flows.add(flow_id)
+            record.flows[flow_id] = now
         if record.suspect_until > now:
             return False
         duration_s = min(MAX_SUSPICION_S, FIRST_SUSPICION_S * 2**record.failures)
@@ -261,10 +265,18 @@
         return self.domain_replied_at.get(domain, 0.0) > since
 
     def evidence_count(self, target: str, now: float) -> int:
-        """Return the number of flows with evidence, plus one if a peer has some."""
+        """Return the number of flows with evidence, plus one if a peer has some.
+
+        Evidence older than `EVIDENCE_LIFETIME_S` is removed.
+        """
         record = self.records.get(target)
         if record is None:
             return 0
+        record.flows = {
+            flow_id: at
+            for flow_id, at in record.flows.items()
+            if now - at <= EVIDENCE_LIFETIME_S
+        }
         return len(record.flows) + (record.peer_suspect_until > now)
 
     def mark_unreachable(self, target: str, proof: str, now: float) -> None:
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -172,6 +172,18 @@
     When the caller of the new flow repeats its request 0.2 s later
     Then that flow is reset
 
+  Scenario Outline: Flows prove a loss together only if they wait at the same time
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When one flow repeats its request twice without a reply
+    And <seconds> s pass
+    And the other flow repeats its request twice without a reply
+    Then <result>
+
+    Examples:
+      | seconds | result                                     |
+      | 1       | both flows and an idle third one are reset |
+      | 60      | nothing is reset                           |
+
   Scenario: One silent flow proves nothing
     Given a forwarder with 3 targets and two flows at the first, others busy
     When one flow repeats its request twice without a reply
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -297,6 +297,12 @@
     repeat_requests(context, context.first[:1])
 
 
+@behave.when("the other flow repeats its request twice without a reply")
+def repeat_other(context):
+    """Repeat the request of the second flow."""
+    repeat_requests(context, context.first[1:])
+
+
 @behave.when("a neighbour says that the first target is lost")
 def say_lost(context):
     """Take over a neighbour's report."""
