Do not pass on a loss that only a peer has proved

A host that marked a target by a peer's proof and one repetition reported it as lost itself.

The proof has a name of its own, neighbour_and_repetition, is not reported, and does not prolong a mark.

features/fleet_forwarding.feature, run over the code before and after: "Hosts pass on only losses that they have proved themselves" failed for a peer's proof, and passes; for an own proof it passed before.

--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -491,8 +491,9 @@
         flow = self.flows.record_packet(packet.flow, target.name, now)
         flow.run = flow.run or target.started_ms
         self.track_progress(packet, flow, target.domain, now)
-        if self.confirms_unreachable(flow, target, now):
-            self.suspicions.mark_unreachable(target.name, "packets_without_reply", now)
+        proof = self.find_proof(flow, target, now)
+        if proof is not None:
+            self.suspicions.mark_unreachable(target.name, proof, now)
             self.reset_flows(target, packet.flow)
         # The flows that were known when the target was marked have been reset then. One
         # that came from another host, or was opened, since then may be answered.
@@ -543,10 +544,10 @@
         elif flow.request_sent_at is None:
             self.flows.start_request(flow, packet.sequence, now)
 
-    def confirms_unreachable(
+    def find_proof(
         self, flow: flowtable.Flow, target: fleetmodel.Target, now: float
-    ) -> bool:
-        """Return whether a flow's packets confirm that its target is unreachable.
+    ) -> str | None:
+        """Return the proof by a flow's packets that its target is unreachable, if any.
 
         A live target acknowledges a repeated request at once, however long the request
         takes. The proof needs `UNREACHABLE_EVIDENCE` flows without replies, or a silent
@@ -558,22 +559,22 @@
         if request_sent_at is None or self.suspicions.replied_since(
             target.name, request_sent_at
         ):
-            return False
+            return None
         if flow.retransmissions and self.suspicions.is_unreachable_at_peer(
             target.name, now
         ):
-            return self.own_links_work(target, now)
+            return suspicion.PEER_PROOF if self.own_links_work(target, now) else None
         if (
             flow.retransmissions < MIN_RETRANSMISSIONS
             or now - request_sent_at < UNREACHABLE_AFTER_S
         ):
-            return False
+            return None
         too_few_flows = (
             self.suspicions.evidence_count(target.name, now) < UNREACHABLE_EVIDENCE
         )
         if too_few_flows and not self.chooser.is_domain_unreachable(target.domain, now):
-            return False
-        return self.own_links_work(target, now)
+            return None
+        return "packets_without_reply" if self.own_links_work(target, now) else None
 
     def own_links_work(self, target: fleetmodel.Target, now: float) -> bool:
         """Return whether this host's links work, judged by other targets' replies.
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -28,6 +28,8 @@
 # Age up to which a flow's evidence counts together with that of others. Those of a
 # failed target wait at the same time; lost packets of a live one are single events.
 EVIDENCE_LIFETIME_S = 4.0
+# Proof by a peer's report and one repetition here.
+PEER_PROOF = "neighbour_and_repetition"
 # Under load a live target replies many times within this time.
 REPLY_AGE_LIMIT_S = 0.5
 
@@ -252,7 +254,10 @@
     def own_suspects(self, now: float) -> list[str]:
         """Return the targets that are suspect by this host's own evidence."""
         return [
-            name for name, record in self.records.items() if record.suspect_until > now
+            name
+            for name, record in self.records.items()
+            if record.suspect_until > now
+            and (record.failures or record.proof != PEER_PROOF)
         ]
 
     def replied_since(self, target: str, since: float) -> bool:
@@ -280,8 +285,14 @@
         return len(record.flows) + (record.peer_suspect_until > now)
 
     def mark_unreachable(self, target: str, proof: str, now: float) -> None:
-        """Mark a target as unreachable for `UNREACHABLE_FOR_S`; `proof` is logged."""
+        """Mark a target as unreachable for `UNREACHABLE_FOR_S`.
+
+        `proof` is `PEER_PROOF`, which leaves a mark that is in force as it is, or names
+        the proof of this host for the log.
+        """
         record = self.record_for(target)
+        if record.unreachable_until > now and proof == PEER_PROOF:
+            return
         if record.unreachable_until <= now:
             self.log.write(
                 "target_lost",
@@ -310,11 +321,15 @@
         }
 
     def own_unreachable(self, now: float) -> list[str]:
-        """Return the targets that this host has marked as unreachable."""
+        """Return the targets that are unreachable by this host's own proof.
+
+        Those marked by the proof of a peer are not reported: peers would otherwise
+        confirm each other's marks without any new evidence.
+        """
         return [
             name
             for name, record in self.records.items()
-            if record.unreachable_until > now
+            if record.unreachable_until > now and record.proof != PEER_PROOF
         ]
 
     def is_unreachable_at_peer(self, target: str, now: float) -> bool:
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -223,6 +223,16 @@
       | both flows repeat their requests twice without a reply |
       | a neighbour's proof and a repetition reset them        |
 
+  Scenario Outline: Hosts pass on only losses that they have proved themselves
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <proof>
+    Then its reports name the first target as lost and suspect: <answer>
+
+    Examples:
+      | proof                                                  | answer |
+      | both flows repeat their requests twice without a reply | yes    |
+      | a neighbour's proof and a repetition reset them        | no     |
+
   Scenario: A neighbour's proof ends with the report that no longer has it
     Given a forwarder with 3 targets and two flows at the first, others busy
     When a neighbour's report says that the first target is lost
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -400,6 +400,15 @@
     assert resets(context)[-1] == 2_005
 
 
+@behave.then("its reports name the first target as lost and suspect: {answer}")
+def check_reported(context, answer):
+    """Check what is told to peers while the flows are reset here."""
+    suspicions, now = context.fleet.suspicions, context.fleet.now
+    assert suspicions.is_unreachable("i-1", now)
+    assert suspicions.own_unreachable(now) == (["i-1"] if answer == "yes" else [])
+    assert suspicions.own_suspects(now) == (["i-1"] if answer == "yes" else [])
+
+
 @behave.then("no more flows than before are reset")
 def check_no_more_resets(context):
     """Check that the evidence was not added to that against the earlier run."""
