Drop copies of an opening packet that come after other packets of the flow

features/fleet_forwarding.feature, run over the code before and after: "A copy of an opening packet that comes late opens nothing" failed for both copies, and passes.

--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -238,16 +238,17 @@
         Each copy of an opening packet goes to a target that was not tried yet, if there
         is one. A flow whose first copy meets a lack of capacity may be refused; a
         duplicate of a first copy that was admitted is not, nor is one that was held,
-        since the flow may be open.
+        since the flow may be open. A copy that comes after other packets of its flow is
+        dropped: it shows nothing about a target, and would open the flow at a second.
         `version` is that of the configuration, for the log.
         """
         now = clock.steady_s()
         flow = self.flows.flows.get(packet.flow)
-        is_duplicate = (
-            packet.copy == 0
-            and flow is not None
-            and now - flow.last_packet_at < DUPLICATE_AGE_S
-        )
+        is_recent = flow is not None and now - flow.last_packet_at < DUPLICATE_AGE_S
+        if is_recent and flow is not None and flow.opened:
+            self.drop(reasons.Reason.DUPLICATE)
+            return
+        is_duplicate = packet.copy == 0 and is_recent
         if packet.copy == 0:
             # The caller may reuse the port of an earlier flow.
             self.flows.remove(packet.flow)
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -18,6 +18,19 @@
     When a flow opens and its opening packet comes 2 times more
     Then 3 targets were tried
 
+  Scenario Outline: A copy of an opening packet that comes late opens nothing
+    Given a forwarder with 3 targets
+    When a flow opens and goes on, and copy <copy> of its opening packet arrives
+    Then nothing is sent
+    And 1 packet is dropped as duplicate
+    And no target is suspect after 0.11 s
+    And the flow is still at its target
+
+    Examples:
+      | copy |
+      | 0    |
+      | 1    |
+
   Scenario: A packet with an unknown token is dropped
     Given a forwarder with 3 targets
     When a packet with an unknown token arrives
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -567,6 +567,35 @@
     assert len(set(context.numbers)) == count == len(context.numbers)
 
 
+@behave.when(
+    "a flow opens and goes on, and copy {copy:d} of its opening packet arrives"
+)
+def open_late(context, copy):
+    """Read a copy of an opening packet after the packet that continues its flow."""
+    rig = context.fleet
+    number = rig.open(2_000)
+    rig.now += 0.01
+    rig.handle(packet(2_000, ACK, token=number, acknowledged=1))
+    rig.now += 0.25
+    context.number, context.before = number, len(rig.sent)
+    rig.handle(packet(2_000, OPEN, acknowledged=copy))
+
+
+@behave.then("no target is suspect after {seconds:g} s")
+def check_no_suspect_later(context, seconds):
+    """Let the due time of openings pass, and check all targets."""
+    context.fleet.now += seconds
+    check_no_suspect(context)
+
+
+@behave.then("the flow is still at its target")
+def check_flow_kept(context):
+    """Check the count of flows, and that the flow counts as open."""
+    flows = context.fleet.flows
+    assert flows.open_flows == {f"i-{context.number:x}": 1}, flows.open_flows
+    assert [flow.opened for flow in flows.flows.values()] == [True]
+
+
 @behave.when("a packet with an unknown token arrives")
 def send_unknown(context):
     """Send a packet with a token of no target."""
