--- a/basilgate/connectionprobes.py
+++ b/basilgate/connectionprobes.py
@@ -99,6 +99,10 @@
             target=self.run, args=(target, control, now), daemon=True
         ).start()
 
+    def forget(self, target: str) -> None:
+        """Allow a probe of a target, given by name, at once."""
+        self.next_probe_at.pop(target, None)
+
     def run(
         self,
         target: fleetmodel.Target,
@@ -125,6 +129,7 @@
             target=target.name,
             verdict=probe_result.value,
             control=control.name if control is not None else "none",
+            run=target.started_ms,
             took_s=clock.steady_s() - started_at,
         )
         if self.on_result is not None:
--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -1,5 +1,7 @@
 """What one host applies: routes, targets, overrides, and evacuations."""
 
+import collections.abc
+
 import msgspec
 
 from basilgate import clock, counters, eventlog, fleetmodel, invariants, overriderules
@@ -29,6 +31,9 @@
         When the entry was removed from the store, None while it is listed.
     closes_at : float or None
         From when a removed target gets no new flows, None while it is listed.
+    run_position : fleetmodel.Position or None
+        Position of the first entry of the target's run that this host applied; None
+        stands for `position`.
     """
 
     target: fleetmodel.Target
@@ -37,6 +42,7 @@
     relative_weight: float = 1.0
     removed_at: float | None = None
     closes_at: float | None = None
+    run_position: fleetmodel.Position | None = None
 
 
 class FleetView:
@@ -81,6 +87,10 @@
         self.removed: dict[str, TargetEntry] = {}
         self.by_token: dict[int, TargetEntry] = {}
         self.overrides: dict[str, fleetmodel.Override] = {}
+        # Called with each target of which a new run is listed.
+        self.on_new_run: collections.abc.Callable[[fleetmodel.Target], None] = (
+            lambda _: None
+        )
         # Names of the pins whose targets are in evacuated failure domains.
         self.suspended_pins: set[str] = set()
         # Version of the configuration that removed a route, by key of the route.
@@ -193,12 +203,21 @@
             and previous.removed_at is None
         ):
             return False
-        entry = TargetEntry(target, position, now + target.cold_s)
+        is_new_run = previous is None or run_of(previous.target) != run_of(target)
+        run_position = previous.run_position if previous else None
+        entry = TargetEntry(
+            target,
+            position,
+            now + target.cold_s,
+            run_position=position if is_new_run else run_position,
+        )
         self.removed.pop(target.name, None)
         self.entries[target.name] = entry
         self.candidate_cache.clear()
         self.claim_token(entry)
         self.update_suspended_pins()
+        if is_new_run:
+            self.on_new_run(target)
         if (
             previous is None
             or previous.removed_at is not None
@@ -212,6 +231,7 @@
                 domain=target.domain,
                 leaving=target.leaving,
                 cold_s=target.cold_s,
+                run=target.started_ms,
                 revision=position,
             )
         return True
@@ -345,6 +365,11 @@
         return candidates
 
 
+def run_of(target: fleetmodel.Target) -> tuple[int, fleetmodel.Address]:
+    """Return what tells the runs of a target of one name apart: start and address."""
+    return target.started_ms, target.address
+
+
 def differs_beyond_cold_time(
     previous: fleetmodel.Target, target: fleetmodel.Target
 ) -> bool:
--- a/basilgate/flowtable.py
+++ b/basilgate/flowtable.py
@@ -52,6 +52,9 @@
     was_held : bool
         Whether the opening packet was held while this host started, so that its caller
         may have sent it again, or have given up, whatever the target does.
+    run : int
+        `fleetmodel.Target.started_ms` of the target's run when this host first saw the
+        flow, 0 if it is not known.
     """
 
     target: str
@@ -63,6 +66,7 @@
     request_sequence: int = 0
     retransmissions: int = 0
     was_held: bool = False
+    run: int = 0
 
 
 class Activity(msgspec.Struct, gc=False):
@@ -197,6 +201,13 @@
             self.clear_request(flow)
             self.open_flows[flow.target] -= 1
 
+    def remove_flows_of(self, target: str) -> None:
+        """Remove all flows of a target."""
+        if self.open_flows[target] > 0:
+            for flow_id, flow in list(self.flows.items()):
+                if flow.target == target:
+                    self.remove(flow_id)
+
     def sweep(self, now: float, idle_timeout_s: float) -> None:
         """Remove idle flows, and requests older than `REQUEST_TIMEOUT_S`.
 
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import random
+import typing
 
 from basilgate import (
     clock,
@@ -97,13 +98,25 @@
         self.counts = counts
         self.invariants = invariants.Invariants(log, counts)
         self.admission = admission.Admission(view, room.RoomEstimator(chooser, counts))
+        view.on_new_run = self.begin_run
         self.handles_held = False  # Whether the packet in progress was held.
+        # Whether it may have waited while the process was paused. Set by the receiver.
+        self.is_late = False
         # New flows, to be checked at their deadline: deadline in monotonic seconds, ID
         # of the flow, and name of the target. The next deadline comes first.
         self.unanswered_openings: collections.deque[tuple[float, bytes, str]] = (
             collections.deque()
         )
 
+    def begin_run(self, target: fleetmodel.Target) -> None:
+        """Forget the earlier run of a target, whose flows have ended, if it had one.
+
+        What showed that the earlier run had failed shows nothing about the new one.
+        """
+        self.suspicions.begin_run(target.name, target.started_ms)
+        self.flows.remove_flows_of(target.name)
+        self.prober.forget(target.name)
+
     def handle_held(self, datagram: bytes) -> None:
         """Handle a packet that arrived before this host could forward it."""
         self.handles_held = True
@@ -139,13 +152,16 @@
         self.counts.add("dropped_packets_total", reason=reasons.label(reason))
 
     def refuse_route(self, packet: fleetmodel.Packet) -> None:
-        """Reset a flow to an address without a route, or drop its packet."""
-        if packet.resetting:
-            self.drop(reasons.Reason.NO_SUCH_SERVICE)
-            return
-        if not packet.opening and packet.route not in self.view.removed_routes:
-            # The route may be newer than the configuration in force here. The caller
-            # repeats the packet.
+        """Reset a flow to an address without a route, or drop its packet.
+
+        An open flow is reset only if this host has forwarded its packets, and so knows
+        that it is older than the removal of its route. Otherwise a newer configuration
+        may have the route (again), and the caller repeats the packet.
+        """
+        is_opened_before = (
+            packet.route in self.view.removed_routes and packet.flow in self.flows.flows
+        )
+        if packet.resetting or not (packet.opening or is_opened_before):
             self.drop(reasons.Reason.NO_SUCH_SERVICE)
             return
         self.reset(packet, reasons.Reason.NO_SUCH_SERVICE)
@@ -153,27 +169,47 @@
     def reset(self, packet: fleetmodel.Packet, reason: reasons.Reason) -> None:
         """Reset the flow of a packet, so that its caller does not have to time out.
 
-        An opening packet that was held is dropped: a later copy of it may have opened
-        the flow through another host meanwhile.
+        An opening packet that was held, or waited through a pause of this host, is
+        dropped: a later copy of it may have opened the flow through another host
+        meanwhile.
         """
-        if self.handles_held and packet.opening:
+        if (self.handles_held or self.is_late) and packet.opening:
             self.drop(reason)
             return
         position = 0 if packet.opening else packet.acknowledged
-        self.reset_flow(packet.flow, position, reason)
+        copy = packet.copy if packet.opening else None
+        self.reset_flow(packet.flow, position, reason, copy)
+
+    def reset_flow(
+        self,
+        flow_id: bytes,
+        position: int,
+        reason: reasons.Reason,
+        copy: int | None = None,
+    ) -> None:
+        """Reset a flow whose caller last acknowledged a position in the byte stream.
 
-    def reset_flow(self, flow_id: bytes, position: int, reason: reasons.Reason) -> None:
-        """Reset a flow whose caller last acknowledged a position in the byte stream."""
+        `copy` is the number of the opening packet that is refused, if it is one.
+        """
         label = reasons.label(reason)
         configuration = self.view.configuration
         flow = self.flows.flows.get(flow_id)
         self.counts.add("resets_total", reason=label)
+        details: dict[str, typing.Any] = {}
+        if copy is not None:
+            details["copy"] = copy
+        if flow is not None:
+            now = clock.steady_s()
+            details |= {"run": flow.run, "idle_s": now - flow.last_packet_at}
+            if reason is reasons.Reason.TARGET_UNREACHABLE:
+                details |= self.suspicions.describe_mark(flow.target, now)
         self.log.write(
             "flow_reset",
             flow=packets.describe_flow(flow_id),
             reason=label,
             target=flow.target if flow is not None else "none",
             config_version=configuration.version if configuration else 0,
+            **details,
         )
         self.flows.remove(flow_id)
         self.send(
@@ -202,16 +238,17 @@
         Each copy of an opening packet goes to a target that was not tried yet, if there
         is one. A flow whose first copy meets a lack of capacity may be refused; a
         duplicate of a first copy that was admitted is not, nor is one that was held,
-        since the flow may be open.
+        since the flow may be open. A copy that comes after other packets of its flow is
+        dropped: it shows nothing about a target, and would open the flow at a second.
         `version` is that of the configuration, for the log.
         """
         now = clock.steady_s()
         flow = self.flows.flows.get(packet.flow)
-        is_duplicate = (
-            packet.copy == 0
-            and flow is not None
-            and now - flow.last_packet_at < DUPLICATE_AGE_S
-        )
+        is_recent = flow is not None and now - flow.last_packet_at < DUPLICATE_AGE_S
+        if is_recent and flow is not None and flow.opened:
+            self.drop(reasons.Reason.DUPLICATE)
+            return
+        is_duplicate = packet.copy == 0 and is_recent
         if packet.copy == 0:
             # The caller may reuse the port of an earlier flow.
             self.flows.remove(packet.flow)
@@ -266,7 +303,7 @@
             removed_at=entry.removed_at,
         )
         flow = self.flows.record_opening(packet.flow, target.name, now)
-        flow.was_held = self.handles_held
+        flow.was_held, flow.run = self.handles_held, target.started_ms
         if not flow.was_held:
             self.unanswered_openings.append(
                 (now + OPENING_TIMEOUT_S, packet.flow, target.name)
@@ -453,11 +490,16 @@
         now = clock.steady_s()
         self.measure_opening(packet.flow, target, now)
         flow = self.flows.record_packet(packet.flow, target.name, now)
+        flow.run = flow.run or target.started_ms
         self.track_progress(packet, flow, target.domain, now)
-        if self.confirms_unreachable(flow, target, now):
-            self.suspicions.mark_unreachable(target.name, "packets_without_reply", now)
+        proof = self.find_proof(flow, target, now)
+        if proof is not None:
+            self.suspicions.mark_unreachable(target.name, proof, now)
             self.reset_flows(target, packet.flow)
-        if packet.data_bytes and self.suspicions.is_unreachable(target.name, now):
+        # The flows that were known when the target was marked have been reset then. One
+        # that came from another host, or was opened, since then may be answered.
+        is_waiting = packet.data_bytes > 0 and flow.retransmissions > 0
+        if is_waiting and self.suspicions.is_unreachable(target.name, now):
             self.reset(packet, reasons.Reason.TARGET_UNREACHABLE)
             return
         self.forward(packet, target)
@@ -503,10 +545,10 @@
         elif flow.request_sent_at is None:
             self.flows.start_request(flow, packet.sequence, now)
 
-    def confirms_unreachable(
+    def find_proof(
         self, flow: flowtable.Flow, target: fleetmodel.Target, now: float
-    ) -> bool:
-        """Return whether a flow's packets confirm that its target is unreachable.
+    ) -> str | None:
+        """Return the proof by a flow's packets that its target is unreachable, if any.
 
         A live target acknowledges a repeated request at once, however long the request
         takes. The proof needs `UNREACHABLE_EVIDENCE` flows without replies, or a silent
@@ -518,22 +560,22 @@
         if request_sent_at is None or self.suspicions.replied_since(
             target.name, request_sent_at
         ):
-            return False
+            return None
         if flow.retransmissions and self.suspicions.is_unreachable_at_peer(
             target.name, now
         ):
-            return self.own_links_work(target, now)
+            return suspicion.PEER_PROOF if self.own_links_work(target, now) else None
         if (
             flow.retransmissions < MIN_RETRANSMISSIONS
             or now - request_sent_at < UNREACHABLE_AFTER_S
         ):
-            return False
+            return None
         too_few_flows = (
             self.suspicions.evidence_count(target.name, now) < UNREACHABLE_EVIDENCE
         )
         if too_few_flows and not self.chooser.is_domain_unreachable(target.domain, now):
-            return False
-        return self.own_links_work(target, now)
+            return None
+        return "packets_without_reply" if self.own_links_work(target, now) else None
 
     def own_links_work(self, target: fleetmodel.Target, now: float) -> bool:
         """Return whether this host's links work, judged by other targets' replies.
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -243,16 +243,30 @@
     def apply_peer_failures(self, report: peertable.Report, now: float) -> None:
         """Record suspicions from peers in this host's or the target's failure domain.
 
-        A target that a peer reports as unreachable is probed if flows are at risk.
+        A peer that does not have the entry of a target's present run yet speaks of an
+        earlier run. A target that a peer reports as unreachable is probed if flows are
+        at risk.
         """
         in_own_domain = report.domain == self.peers.settings.domain
+        lost = set()
         for token in report.suspects:
-            target = self.view.target_for(token)
-            if target is not None and (in_own_domain or report.domain == target.domain):
+            entry = self.view.by_token.get(token)
+            if entry is None or (
+                entry.run_position is not None
+                and report.newest_position < entry.run_position
+            ):
+                continue
+            target = entry.target
+            if in_own_domain or report.domain == target.domain:
                 unreachable = token in report.lost
-                self.suspicions.record_peer_failure(target.name, unreachable, now)
+                self.suspicions.record_peer_failure(
+                    target.name, unreachable, now, report.host
+                )
+                if unreachable:
+                    lost.add(target.name)
                 if unreachable and self.has_flows_at_risk(target, now):
                     self.forwarder.probe_target(target, now)
+        self.suspicions.replace_peer_proofs(report.host, lost)
 
     def has_flows_at_risk(self, target: fleetmodel.Target, now: float) -> bool:
         """Return whether open flows may wait for a target that a peer cannot reach.
@@ -273,6 +287,8 @@
         while True:
             time.sleep(peertable.REPORT_INTERVAL_S)
             now = clock.steady_s()
+            # Read before the evidence, which may not be older than what it states.
+            newest_target = self.cache.newest_reported(documents.TARGETS_KIND)
             with self.lock:
                 if now - last_sent_at > PAUSE_LIMIT_S:
                     self.peers.restart_silence_timers(now)
@@ -283,7 +299,6 @@
                 loads = self.own_loads(now)
                 suspects = self.listed_tokens(self.suspicions.own_suspects(now))
                 unreachable = self.listed_tokens(self.suspicions.own_unreachable(now))
-            newest_target = self.cache.newest_reported(documents.TARGETS_KIND)
             report = self.peers.make_report(
                 self.config_version,
                 newest_target.revision,
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -18,6 +18,19 @@
     When a flow opens and its opening packet comes 2 times more
     Then 3 targets were tried
 
+  Scenario Outline: A copy of an opening packet that comes late opens nothing
+    Given a forwarder with 3 targets
+    When a flow opens and goes on, and copy <copy> of its opening packet arrives
+    Then nothing is sent
+    And 1 packet is dropped as duplicate
+    And no target is suspect after 0.11 s
+    And the flow is still at its target
+
+    Examples:
+      | copy |
+      | 0    |
+      | 1    |
+
   Scenario: A packet with an unknown token is dropped
     Given a forwarder with 3 targets
     When a packet with an unknown token arrives
@@ -37,7 +50,8 @@
     Examples:
       | packet                                       | result              |
       | an opening packet to an address without route | the flow is reset   |
-      | a packet of a flow whose route was removed    | the flow is reset   |
+      | a packet of a known flow whose route was removed | the flow is reset |
+      | a packet of an unknown flow whose route was removed | nothing is sent |
       | a later packet to an address without route    | nothing is sent     |
       | a reset to an address without route           | nothing is sent     |
       | a packet that accepts a flow                  | nothing is sent     |
@@ -163,6 +177,26 @@
     When both flows repeat their requests twice, and one of them gets a reply
     Then nothing is reset
 
+  Scenario: A flow that came here after the proof is reset once it waits
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When both flows repeat their requests twice without a reply
+    And the caller of a new flow sends a request
+    Then the request is forwarded
+    When the caller of the new flow repeats its request 0.2 s later
+    Then that flow is reset
+
+  Scenario Outline: Flows prove a loss together only if they wait at the same time
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When one flow repeats its request twice without a reply
+    And <seconds> s pass
+    And the other flow repeats its request twice without a reply
+    Then <result>
+
+    Examples:
+      | seconds | result                                     |
+      | 1       | both flows and an idle third one are reset |
+      | 60      | nothing is reset                           |
+
   Scenario: One silent flow proves nothing
     Given a forwarder with 3 targets and two flows at the first, others busy
     When one flow repeats its request twice without a reply
@@ -191,6 +225,73 @@
     And one flow repeats its request once without a reply
     Then nothing is reset
 
+  Scenario Outline: A reply ends the resets, whatever they were based on
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <proof>
+    And the first target replies on a new flow, and a caller there sends a request
+    Then the request is forwarded, and the next report names no lost target
+
+    Examples:
+      | proof                                                  |
+      | both flows repeat their requests twice without a reply |
+      | a neighbour's proof and a repetition reset them        |
+
+  Scenario Outline: Hosts pass on only losses that they have proved themselves
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <proof>
+    Then its reports name the first target as lost and suspect: <answer>
+
+    Examples:
+      | proof                                                  | answer |
+      | both flows repeat their requests twice without a reply | yes    |
+      | a neighbour's proof and a repetition reset them        | no     |
+
+  Scenario: A neighbour's proof ends with the report that no longer has it
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When a neighbour's report says that the first target is lost
+    And a neighbour's report says that the first target is sound
+    And one flow repeats its request once without a reply
+    Then nothing is reset
+
+  Scenario: A neighbour's proof holds while another neighbour has it as well
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When a neighbour's report says that the first target is lost
+    And another neighbour's report says that the first target is lost
+    And a neighbour's report says that the first target is sound
+    And one flow repeats its request once without a reply
+    Then both flows and an idle third one are reset
+
+  Scenario Outline: What was seen of an earlier run shows nothing about the next one
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <evidence>
+    And a new run of the first target begins <where>
+    Then no flow of the earlier run is counted, no target is suspect, and all may be probed
+    When the caller of a new flow sends a request
+    Then the request is forwarded, and the next report names no lost target
+    When one flow repeats its request twice without a reply
+    Then no more flows than before are reset
+
+    Examples:
+      | evidence                                               | where              |
+      | both flows repeat their requests twice without a reply | at its address     |
+      | both flows repeat their requests twice without a reply | at another address |
+      | one flow repeats its request twice without a reply     | at its address     |
+      | a neighbour's report says that the first target is lost | at its address    |
+      | a flow opens at the first target and is not continued  | at its address     |
+
+  Scenario Outline: A neighbour that does not know the new run speaks of the earlier one
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When a new run of the first target begins at its address
+    And its flows send packets
+    And <which> neighbour's report says that the first target is lost
+    And one flow repeats its request once without a reply
+    Then <result>
+
+    Examples:
+      | which    | result                                   |
+      | a        | nothing is reset                         |
+      | a newer  | both flows and an idle third one are reset |
+
   Scenario: A neighbour's proof counts for nothing against a target that replies
     Given a forwarder with 3 targets and two flows at the first, others busy
     When a neighbour says that the first target is lost
@@ -202,6 +303,15 @@
     When both flows' requests and their repetitions are read at once
     Then nothing is reset
 
+  Scenario: A paused host does not refuse flows that callers may have opened elsewhere
+    Given a store with 2 targets
+    And three hosts of one failure domain
+    When the second host is paused for 0.8 s
+    And an opening packet to an address without route reaches it
+    Then its caller gets no reset until 0.5 s after the pause
+    When an opening packet to an address without route reaches it
+    Then its caller gets a reset
+
   Scenario: A target that resets new flows at the caller draws no more of them
     Given a forwarder with 2 targets
     When 10 flows open and those at the first target are reset there
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -2,8 +2,11 @@
 
 import collections
 import os
+import signal
 import socket
 import struct
+import threading
+import types
 
 import behave
 import hypothesis
@@ -14,12 +17,14 @@
     clock,
     connectionprobes,
     counters,
+    documentcache,
     eventlog,
     fleetmodel,
     fleetview,
     flowtable,
     forwarding,
     invariants,
+    peerreports,
     peertable,
     suspicion,
     targetchoice,
@@ -235,6 +240,7 @@
     """Set up three flows at one target, and one at each other target."""
     rig = make_rig(context, [target(n) for n in range(1, 4)])
     context.first = (2_001, 2_002)
+    context.ports = iter(range(4_000, 60_000))
     for port in (*context.first, 2_003):
         rig.handle(packet(port, ACK, token=1, acknowledged=5))
     for port, number in ((2_010, 2), (2_011, 3)):
@@ -291,21 +297,167 @@
     repeat_requests(context, context.first[:1])
 
 
+@behave.when("the other flow repeats its request twice without a reply")
+def repeat_other(context):
+    """Repeat the request of the second flow."""
+    repeat_requests(context, context.first[1:])
+
+
 @behave.when("a neighbour says that the first target is lost")
 def say_lost(context):
     """Take over a neighbour's report."""
     rig = context.fleet
     reply_from_others(context, 50)
-    rig.suspicions.record_peer_failure("i-1", True, rig.now)
+    rig.suspicions.record_peer_failure("i-1", True, rig.now, "h2")
     rig.handle(packet(2_003, ACK, token=1, acknowledged=5))
 
 
+def exchange_of(context):
+    """Return the part of the host that acts on reports, made on first use."""
+    if "exchange" not in context:
+        rig = context.fleet
+        rig.peers.settings = types.SimpleNamespace(domain=NEAR)
+        cache = documentcache.DocumentCache({}, threading.Lock())
+        context.exchange = peerreports.ReportExchange(
+            rig.peers,
+            rig.view,
+            rig.flows,
+            rig.suspicions,
+            rig.chooser,
+            rig.forwarder,
+            cache,
+            [],
+            None,
+            threading.Lock(),
+            rig.log,
+        )
+    return context.exchange
+
+
+@behave.when("{which} neighbour's report says that the first target is {state}")
+def report_target(context, which, state):
+    """Take over a report of a host that has the targets up to the revision 10."""
+    rig = context.fleet
+    tokens = [1] if state == "lost" else []
+    name = "h3" if which == "another" else "h2"
+    revision = 90 if which == "a newer" else 10
+    report = peertable.Report(
+        name, NEAR, "10.1.0.2", 1, 5, revision, False, {}, tokens, tokens, [], era=1
+    )
+    reply_from_others(context, int(rig.now * 10) % 100)
+    exchange_of(context).apply_peer_failures(report, rig.now)
+
+
+@behave.when("a new run of the first target begins {where}")
+def start_again(context, where):
+    """List a new run of the target."""
+    again = target(1, born=2)
+    if where == "at another address":
+        again = msgspec.structs.replace(target(1), address=("10.1.0.9", 8_009))
+    rig = context.fleet
+    context.resets_before = len(resets(context))
+    rig.prober.next_probe_at["i-1"] = rig.now + connectionprobes.PROBE_INTERVAL_S
+    assert rig.view.apply_target(again, at_revision(90))
+
+
+@behave.then(
+    "no flow of the earlier run is counted, no target is suspect, and all may be probed"
+)
+def check_clean(context):
+    """Check what the host knows of the target, after the due time of openings."""
+    rig = context.fleet
+    assert rig.flows.open_flows["i-1"] == 0
+    assert rig.prober.next_probe_at == {}
+    rig.now += 0.11
+    check_no_suspect(context)
+    assert not rig.suspicions.is_suspect("i-1", rig.now)
+
+
+@behave.when("the caller of a new flow sends a request")
+def ask_on_new_flow(context):
+    """Send a request of a flow that was opened elsewhere."""
+    ask = packet(2_005, ACK, sequence=1, token=1, acknowledged=5, data=b"GET")
+    context.answered = context.fleet.handle(ask)
+
+
+@behave.then("the request is forwarded")
+def check_forwarded(context):
+    """Check what was sent for the last request."""
+    assert [is_forwarded(sent) for sent in context.answered] == [True]
+
+
+@behave.when("the caller of the new flow repeats its request {delay:g} s later")
+def repeat_on_new_flow(context, delay):
+    """Repeat the request of the flow that was opened elsewhere."""
+    context.fleet.now += delay
+    ask_on_new_flow(context)
+
+
+@behave.then("that flow is reset")
+def check_new_flow_reset(context):
+    """Check the last reset."""
+    assert [is_forwarded(sent) for sent in context.answered] == [False]
+    assert resets(context)[-1] == 2_005
+
+
+@behave.then("its reports name the first target as lost and suspect: {answer}")
+def check_reported(context, answer):
+    """Check what is told to peers while the flows are reset here."""
+    suspicions, now = context.fleet.suspicions, context.fleet.now
+    assert suspicions.is_unreachable("i-1", now)
+    assert suspicions.own_unreachable(now) == (["i-1"] if answer == "yes" else [])
+    assert suspicions.own_suspects(now) == (["i-1"] if answer == "yes" else [])
+
+
+@behave.then("no more flows than before are reset")
+def check_no_more_resets(context):
+    """Check that the evidence was not added to that against the earlier run."""
+    assert len(resets(context)) == context.resets_before
+
+
+@behave.when("its flows send packets")
+def send_on_flows(context):
+    """Let callers send a packet of each flow at the first target."""
+    for port in (*context.first, 2_003):
+        context.fleet.handle(packet(port, ACK, token=1, acknowledged=5))
+
+
 @behave.when("one flow repeats its request once without a reply")
 def repeat_once(context):
     """Repeat the request of one flow once."""
     repeat_requests(context, context.first[:1], gaps=(0.0, 0.2))
 
 
+@behave.when("a neighbour's proof and a repetition reset them")
+def prove_at_neighbour(context):
+    """Take over a neighbour's report, and repeat a request."""
+    say_lost(context)
+    repeat_once(context)
+
+
+@behave.when(
+    "the first target replies on a new flow, and a caller there sends a request"
+)
+def reply_on_new_flow(context):
+    """Let the target accept a flow that was opened elsewhere, and answer there."""
+    rig = context.fleet
+    assert rig.suspicions.is_unreachable("i-1", rig.now)
+    rig.now += 0.1
+    for position in (5, 6):
+        rig.handle(packet(2_004, ACK, token=1, acknowledged=position))
+    rig.now += 0.1
+    ask = packet(2_005, ACK, sequence=1, token=1, acknowledged=5, data=b"GET")
+    context.answered = rig.handle(ask)
+
+
+@behave.then("the request is forwarded, and the next report names no lost target")
+def check_mark_ended(context):
+    """Check what was sent, and what peers are told."""
+    rig = context.fleet
+    check_forwarded(context)
+    assert rig.suspicions.own_unreachable(rig.now) == []
+
+
 @behave.when("one flow repeats its request once, and another one gets a reply")
 def repeat_once_with_reply(context):
     """Repeat a request while the target acknowledges another flow."""
@@ -415,6 +567,35 @@
     assert len(set(context.numbers)) == count == len(context.numbers)
 
 
+@behave.when(
+    "a flow opens and goes on, and copy {copy:d} of its opening packet arrives"
+)
+def open_late(context, copy):
+    """Read a copy of an opening packet after the packet that continues its flow."""
+    rig = context.fleet
+    number = rig.open(2_000)
+    rig.now += 0.01
+    rig.handle(packet(2_000, ACK, token=number, acknowledged=1))
+    rig.now += 0.25
+    context.number, context.before = number, len(rig.sent)
+    rig.handle(packet(2_000, OPEN, acknowledged=copy))
+
+
+@behave.then("no target is suspect after {seconds:g} s")
+def check_no_suspect_later(context, seconds):
+    """Let the due time of openings pass, and check all targets."""
+    context.fleet.now += seconds
+    check_no_suspect(context)
+
+
+@behave.then("the flow is still at its target")
+def check_flow_kept(context):
+    """Check the count of flows, and that the flow counts as open."""
+    flows = context.fleet.flows
+    assert flows.open_flows == {f"i-{context.number:x}": 1}, flows.open_flows
+    assert [flow.opened for flow in flows.flows.values()] == [True]
+
+
 @behave.when("a packet with an unknown token arrives")
 def send_unknown(context):
     """Send a packet with a token of no target."""
@@ -442,9 +623,11 @@
     context.fleet.handle(packet(2_000, OPEN, to=444))
 
 
-@behave.when("a packet of a flow whose route was removed arrives")
-def send_after_removal(context):
-    """Remove the route of an open flow."""
+@behave.when("a packet of {kind} flow whose route was removed arrives")
+def send_after_removal(context, kind):
+    """Remove the route of an open flow, which this host has seen before or not."""
+    if kind == "a known":
+        context.fleet.handle(packet(2_000, ACK, token=1))
     context.fleet.view.apply_configuration(configuration(6, route(port=80)))
     context.before = len(context.fleet.sent)
     context.fleet.handle(packet(2_000, ACK, token=1, data=b"GET"))
@@ -906,3 +1089,52 @@
     rig = context.fleet
     rig.forwarder.check_openings(rig.now)
     assert rig.suspicions.own_suspects(rig.now) == []
+
+
+@behave.fixture
+def caller_of_second(context):
+    """Give the socket at which a caller of the second host gets its resets."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
+        caller.bind(("127.64.0.7", context.hosts[1].port + 1))
+        context.caller = caller
+        yield
+
+
+@behave.when("the second host is paused for {seconds:g} s")
+def pause_second(context, seconds):
+    """Suspend the process of a host, and let it go on later."""
+    behave.use_fixture(caller_of_second, context)
+    process = context.hosts[1].process
+    process.send_signal(signal.SIGSTOP)
+    context.resume = threading.Timer(seconds, process.send_signal, [signal.SIGCONT])
+    context.resume.start()
+
+
+@behave.when("an opening packet to an address without route reaches it")
+def open_without_route(context):
+    """Send an opening packet of a new flow to the second host."""
+    host = context.hosts[1]
+    context.port = next(context.ports) if "ports" in context else 2_000
+    context.ports = iter(range(context.port + 1, 60_000))
+    opening = bytearray(packet(context.port, OPEN, to=444))
+    opening[22:26] = socket.inet_aton(context.caller.getsockname()[0])
+    context.caller.sendto(opening, (host.ip, host.port + 1))
+
+
+@behave.then("its caller gets no reset until {seconds:g} s after the pause")
+def check_not_refused(context, seconds):
+    """Check that nothing comes once the host goes on."""
+    context.resume.join()
+    context.caller.settimeout(seconds)
+    try:
+        found = context.caller.recv(2_048)
+    except TimeoutError:
+        return
+    raise AssertionError(found)
+
+
+@behave.then("its caller gets a reset")
+def check_refused_now(context):
+    """Check that a caller need not wait for a timeout."""
+    context.caller.settimeout(2.0)
+    assert context.caller.recv(2_048)[12] == RESET
