Refuse numbers out of bounds in documents and settings

An entry that another writer had left among those of the targets could stop all new flows of its service: with 400 digits as `slots`, `effective_slots` raised OverflowError for each of them as long as the entry stood. With 30 digits the entry counted as the least loaded target on all hosts. Ports in digits of another script, negative or huge `born`, `seq`, `rev`, weights and times were accepted too, some of them ordered above all later runs.

Cause: the decoders checked types, and ranges of single fields only.

NaN and infinity are out of range. Settings with an integer of thousands of digits end the start with one line instead of a traceback.

--- /dev/null
+++ b/features/steps/odd_entries_steps.py
@@ -0,0 +1,290 @@
+"""Steps for entries that another writer has left in the store."""
+
+import copy
+import dataclasses
+import json
+import math
+
+import behave
+import hypothesis
+import msgspec
+from config_check_steps import JSON_VALUES, good_configuration, places, replace
+from fleet_feed_steps import entry
+from hypothesis import strategies
+
+from basilgate import documentmerge, documentrelay, fleetmodel, peertable
+from platformedge import bounds, documents, store
+from standins import fleetstore
+
+NAME = "i-000000aa"
+FAR_NUMBERS = strategies.sampled_from(
+    [10**400, -(10**400), 10**30, -(10**30), 2**64, 2**63, -1, 0, 1e300, -1e300]
+    + [math.nan, math.inf, -math.inf, 0.5]
+)
+ODD_VALUES = (
+    JSON_VALUES
+    | FAR_NUMBERS
+    | strategies.integers()
+    | strategies.sampled_from(
+        ["10.1.0.1:٣", "10.1.0.1:0", "10.1.0.1:99999", "draining"]
+    )
+)
+NAMES = strategies.sampled_from([NAME, "i-0", "", "odd-entry"]) | strategies.text()
+OVERRIDE = {
+    "kind": "weight",
+    "service": "desk",
+    "target": "i-00000001",
+    "weight": 5,
+    "expires_at_s": None,
+    "operator": "Ana",
+    "reason": "",
+    "operation": "ab12",
+    "created_at_s": 1.7e9,
+    "released_at_s": None,
+}
+
+
+def value_of(text):
+    """Return the value that a table's cell stands for."""
+    count, _, unit = text.partition(" ")
+    if unit == "digits":
+        return int("9" * int(count)) if int(count) < 4_000 else text
+    if unit == "letters":
+        return "a" * int(count)
+    if count == "port":
+        return f"10.1.0.9:{unit}"
+    return json.loads(text)
+
+
+def encoded(value):
+    """Return JSON in bytes; NaN and infinity as Python writes them."""
+    return json.dumps(value).encode()
+
+
+def check_numbers(value):
+    """Check that all numbers in a decoded value are finite and fit into 64 bits."""
+    if isinstance(value, msgspec.Struct):
+        value = [getattr(value, name) for name in value.__struct_fields__]
+    elif dataclasses.is_dataclass(value):
+        value = list(vars(value).values())
+    if isinstance(value, dict):
+        value = [*value.keys(), *value.values()]
+    if isinstance(value, list | tuple):
+        for inner in value:
+            check_numbers(inner)
+    elif isinstance(value, int | float):
+        assert -(2**63) <= value < 2**64, value
+
+
+@behave.when("a target's entry has {value} as its {field}")
+def decode_changed_entry(context, value, field):
+    """Decode an entry with one odd field."""
+    content = encoded(entry(9, **{field: value_of(value)}))
+    context.refusal = refusal_of(documents.decode_target, NAME, content)
+
+
+def refusal_of(decode, *arguments):
+    """Return the message with which a decoder refuses something, None if not."""
+    try:
+        decode(*arguments)
+    except documents.DocumentError as error:
+        return str(error)
+    return None
+
+
+@behave.then("the entry is refused, and the refusal names it")
+def check_refused_by_name(context):
+    """Check the message."""
+    assert context.refusal is not None and NAME in context.refusal, context.refusal
+    assert len(context.refusal) < 500, len(context.refusal)
+
+
+def decode_some_object(content):
+    """Decode an object of the store's era 1."""
+    return documents.decode_object(content, 1)
+
+
+def decode_some_override(content):
+    """Decode an override."""
+    return documents.decode_override("i-00000001", content)
+
+
+# Sound documents and their decoders.
+DOCUMENTS = {
+    "an override": (OVERRIDE, decode_some_override),
+    "a configuration": (good_configuration(), documents.decode_configuration),
+    "an object": ({"meta": {"name": "a", "rev": 5}, "spec": {}}, decode_some_object),
+    "a listing": ({"items": [], "as-of": 5}, documents.decode_listing),
+    "a watch": ({"events": [], "as-of": 5}, documents.decode_events),
+}
+
+
+@behave.when("{kind} has {value} as its {field}")
+def decode_changed_document(context, kind, value, field):
+    """Decode a document with one odd field."""
+    sound, decode = DOCUMENTS[kind]
+    changed = copy.deepcopy(sound)
+    put = value_of(value)
+    replace(changed, field, put[9:] if field.endswith("path-prefix") else put)
+    assert refusal_of(decode, encoded(sound)) is None
+    context.refusal = refusal_of(decode, encoded(changed))
+
+
+@behave.then("the document is refused")
+def check_refused(context):
+    """Check that the decoder refused it, in a line of ordinary length."""
+    assert context.refusal is not None
+    assert len(context.refusal) < 500, len(context.refusal)
+
+
+def changed_values(sound):
+    """Return a strategy for documents with odd values at some places, or any value."""
+    paths = strategies.sampled_from(places(sound))
+
+    def change(changes):
+        changed = copy.deepcopy(sound)
+        for path, value in changes:
+            inner = changed
+            try:
+                for key in path[:-1]:
+                    inner = inner[key]
+                inner[path[-1]] = value
+            except (LookupError, TypeError):
+                continue  # An earlier change took the place away.
+        return changed
+
+    changes = strategies.lists(
+        strategies.tuples(paths, ODD_VALUES), min_size=1, max_size=3
+    )
+    return changes.map(change) | ODD_VALUES
+
+
+@behave.then("any entry is refused, or can be applied, chosen, merged, and passed on")
+def check_any_entry(context):
+    """Put drawn entries into the rig's view and do with them what hosts do."""
+    rig = context.fleet
+    revisions = iter(range(100, 1_000_000))
+
+    @hypothesis.given(NAMES, changed_values(entry(9)), strategies.booleans())
+    @hypothesis.settings(max_examples=1_500)
+    def survive(name, spec, removed):
+        content = encoded(spec)
+        position = fleetmodel.Position(1, next(revisions))
+        document = documents.StoredDocument(name, position, content, removed)
+        check_passed_on(document)
+        check_merged(document)
+        try:
+            target = documents.decode_target(name, content)
+        except documents.DocumentError as error:
+            assert repr(name) in str(error), error
+            return
+        check_numbers(target)
+        assert 1 <= target.slots <= bounds.LARGEST_SLOTS
+        assert 0 < target.address[1] < 2**16 and target.address[1] == int(
+            target.address[1]
+        )
+        assert 0 < target.number < 2**64 and 0 < target.token < 2**32
+        assert rig.view.apply_target(target, position)
+        chosen = rig.chooser.choose(target.service, (), rig.now)
+        assert chosen is not None or target.leaving or target.service != "desk"
+        rig.chooser.choose(target.service, (), rig.now, crowded=True)
+        check_reported(target, position)
+        assert rig.view.remove_target(name, position)
+        rig.now += 100.0
+        rig.view.evict_removed(rig.now)
+
+    survive()
+
+
+def check_reported(target, position):
+    """Check that a host's report about a target is read by its peers."""
+    report = peertable.Report(
+        "h1",
+        target.domain,
+        "127.0.0.1",
+        1,
+        1,
+        position.revision,
+        False,
+        {target.token: (1, 0.5)},
+        [target.token],
+        [target.token],
+        [],
+        position.era,
+    )
+    assert peertable.decode_report(peertable.ENCODER.encode(report)) == report
+
+
+def check_passed_on(document):
+    """Check that a document reaches a downstream as it is."""
+    listing = store.Listing([document], document.position, [])
+    frame = documentrelay.make_frame(documents.TARGETS_KIND, listing, True, True)
+    body = documentrelay.ENCODER.encode(frame)
+    received = documentrelay.read_frame(documentrelay.FRAME_DECODER.decode(body))
+    (found,) = received.documents
+    assert (found.name, found.position) == (document.name, document.position)
+    assert found.removed == document.removed
+    assert document.removed or found.content == document.content
+
+
+def check_merged(document):
+    """Check that a document can be merged with another one, in both directions."""
+    other = documents.StoredDocument(
+        document.name, fleetmodel.Position(2, 7), encoded(entry(9)), False
+    )
+    until = fleetmodel.Position(2, 8)
+    for pair in ((document, other), (other, document)):
+        merged = documentmerge.merge_targets(*pair, until)
+        assert merged.content in (document.content, other.content)
+    order = documents.target_order(document.content, document.removed)
+    check_numbers(order)
+
+
+@behave.then("any document of another kind is refused or within bounds")
+def check_any_document(context):
+    """Decode drawn documents."""
+    del context
+    for kind in DOCUMENTS:
+        check_any_of_kind(kind)
+
+
+ORDERS = {
+    "an override": lambda content: documents.override_order(content, False),
+    "a configuration": documents.configuration_order,
+}
+
+
+def check_any_of_kind(kind):
+    """Decode drawn documents of a kind."""
+    sound, decode = DOCUMENTS[kind]
+
+    @hypothesis.given(changed_values(sound))
+    def survive(value):
+        content = encoded(value)
+        if kind in ORDERS:
+            check_numbers(ORDERS[kind](content))
+        try:
+            decoded = decode(content)
+        except documents.DocumentError:
+            return
+        check_numbers(decoded)
+
+    survive()
+
+
+@behave.when("the settings have {value} as {field}")
+def decode_changed_settings(context, value, field):
+    """Decode settings with one odd bound."""
+    text = fleetstore.settings_text("127.0.0.1", "d1", 5_000, ("127.0.0.1", 9), [])
+    count, _, unit = value.partition(" ")
+    shown = "9" * int(count) if unit else value
+    assert refusal_of(documents.decode_settings, text) is None
+    text += f"[bounds]\n{field} = {shown}\n"
+    context.refusal = refusal_of(documents.decode_settings, text)
+
+
+@behave.then("the settings are refused")
+def check_settings_refused(context):
+    """Check that one line says so."""
+    assert context.refusal is not None
+    assert context.refusal.startswith("settings: ") and "\n" not in context.refusal
