Let no entry of another writer take a target's token

An entry such as `odd-entry` got the number 0xdde from the letters of its name that are hexadecimal digits. If an entry had the same token as a live target and a lower number, or the target's own entry had just lapsed, the entry got the token: packets of open flows went to the entry's address, and their callers heard nothing or a reset.

The holder of a token keeps it until it is evicted, and the other entry gets no new flows until then; before, it never got the token if the holder's entry ended. Of two in the first listing the one that started earlier gets the token on all hosts, since the starts of targets do not change.

An entry under the very name of a live target is still taken for its own.

--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -80,6 +80,8 @@
         self.entries: dict[str, TargetEntry] = {}
         self.removed: dict[str, TargetEntry] = {}
         self.by_token: dict[int, TargetEntry] = {}
+        # Names of targets whose token another target holds.
+        self.tokenless: set[str] = set()
         self.overrides: dict[str, fleetmodel.Override] = {}
         # Names of the pins whose targets are in evacuated failure domains.
         self.suspended_pins: set[str] = set()
@@ -217,21 +219,38 @@
         return True
 
     def claim_token(self, entry: TargetEntry) -> None:
-        """Assign a target's token to it, unless another target has precedence.
+        """Assign a target's token to it, unless another target holds the token.
 
-        If two listed targets have the same token, the one with the lower number gets
-        it on all hosts, and the other one gets no new flows.
+        A holder keeps its token until it is evicted, since packets of its open flows
+        carry it; until then the other target gets no new flows. Of two targets in the
+        first listing, the one that started earlier gets the token on all hosts.
         """
-        holder = self.by_token.get(entry.target.token)
-        if holder is None or holder.target.name == entry.target.name:
-            self.by_token[entry.target.token] = entry
+        target = entry.target
+        holder = self.by_token.get(target.token)
+        if holder is not None and holder.removed_at is not None:
+            self.evict_removed(clock.steady_s())
+            holder = self.by_token.get(target.token)
+        if holder is None or holder.target.name == target.name:
+            self.by_token[target.token] = entry
+            self.tokenless.discard(target.name)
             return
-        holder_listed = holder.removed_at is None
-        if not holder_listed or entry.target.number < holder.target.number:
-            self.by_token[entry.target.token] = entry
-        self.log.write(
-            "token_shared", target=entry.target.name, other=holder.target.name
-        )
+        loser = entry
+        if not self.targets_listed and precedence(target) < precedence(holder.target):
+            self.by_token[target.token] = entry
+            loser = holder
+        self.tokenless.discard(target.name)
+        self.tokenless.add(loser.target.name)
+        self.log.write("token_shared", target=target.name, other=holder.target.name)
+
+    def pass_on_token(self, token: int) -> None:
+        """Assign a token whose holder was evicted to a target that waits for it."""
+        del self.by_token[token]
+        waiting = [self.entries.get(name) for name in self.tokenless]
+        listed = [entry for entry in waiting if entry is not None]
+        self.tokenless = {entry.target.name for entry in listed}
+        for entry in sorted(listed, key=lambda entry: precedence(entry.target)):
+            if entry.target.token == token:
+                self.claim_token(entry)
 
     def remove_target(self, name: str, position: fleetmodel.Position) -> bool:
         """Remove a target that the store no longer lists.
@@ -267,7 +286,7 @@
                 break
             del self.removed[name]
             if self.by_token.get(entry.target.token) is entry:
-                del self.by_token[entry.target.token]
+                self.pass_on_token(entry.target.token)
 
     def apply_override(self, override: fleetmodel.Override) -> None:
         """Put an operator's override in force, in place of one of the same name."""
@@ -350,3 +369,12 @@
 ) -> bool:
     """Return whether two entries of a target differ in more than `cold_s`."""
     return msgspec.structs.replace(previous, cold_s=target.cold_s) != target
+
+
+def precedence(target: fleetmodel.Target) -> tuple[bool, int, int, str]:
+    """Return a key by which the first of two targets with one token gets it.
+
+    The start of a target does not change, so all hosts agree. An entry without it is
+    not by a target.
+    """
+    return not target.started_ms, target.started_ms, target.number, target.name
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -70,3 +70,52 @@
       | grace-s        | -1         |
       | max-flow-s     | inf        |
       | max-flow-s     | -1         |
+
+  Scenario Outline: A name that is not that of a target has no number
+    Then the name "<name>" has <number>
+
+    Examples:
+      | name                | number         |
+      | i-ea77e70fef        | 0xea77e70fef   |
+      | 0000000a            | 0xa            |
+      | srv-0a              | 0xa            |
+      | a-0b                | 0xb            |
+      | i-0a-0b             | 0xa0b          |
+      | odd-entry           | no number      |
+      | i-xyz               | no number      |
+      | i-1 2               | no number      |
+      | i-1,2               | no number      |
+      | i-٣                 | no number      |
+      | i-                  | no number      |
+      | feed                | 0xfeed         |
+      | i-12345678123456781 | no number      |
+
+  Scenario Outline: An entry of another writer takes no token of a known target
+    Given a forwarder with a target i-500000004 that has an open flow
+    When an entry <name> appears that has its token
+    Then packets of the flow still reach i-500000004
+    And the entry <name> gets no new flows
+    When the target i-500000004 is removed
+    Then packets of the flow still reach i-500000004
+    When flows as old as that have ended
+    Then the entry <name> gets new flows
+
+    Examples:
+      | name        |
+      | i-1         |
+      | i-00000001  |
+      | i-900000008 |
+
+  Scenario Outline: All hosts that start give a shared token to one target
+    Given a forwarder with a configuration and no list of targets
+    When it lists <first> and <second> with one token
+    Then packets with this token reach <holder>
+
+    Examples:
+      | first                  | second                 | holder      |
+      | i-500000004 born 7     | i-1 born 8             | i-500000004 |
+      | i-1 born 8             | i-500000004 born 7     | i-500000004 |
+      | i-500000004 born 7     | i-1 born 0             | i-500000004 |
+      | i-1 born 0             | i-500000004 born 7     | i-500000004 |
+      | i-1 born 7             | i-500000004 born 7     | i-1         |
+      | i-500000004 born 7     | i-1 born 7             | i-1         |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -6,6 +6,7 @@
 import math
 
 import behave
+import fleet_forwarding_steps
 import hypothesis
 import msgspec
 from config_check_steps import JSON_VALUES, good_configuration, places, replace
@@ -17,6 +18,7 @@
 from standins import fleetstore
 
 NAME = "i-000000aa"
+PORT = 2_001  # Of a caller.
 FAR_NUMBERS = strategies.sampled_from(
     [10**400, -(10**400), 10**30, -(10**30), 2**64, 2**63, -1, 0, 1e300, -1e300]
     + [math.nan, math.inf, -math.inf, 0.5]
@@ -288,3 +290,92 @@
     """Check that one line says so."""
     assert context.refusal is not None
     assert context.refusal.startswith("settings: ") and "\n" not in context.refusal
+
+
+@behave.then('the name "{name}" has {number}')
+def check_number(context, name, number):
+    """Check which number a name has."""
+    del context
+    expected = None if number == "no number" else int(number, 16)
+    assert documents.target_number(name) == expected
+
+
+def foreign_target(name, born):
+    """Return a target by its name, as its entry describes it."""
+    found = entry(9, born=born, slots=1_000)
+    return documents.decode_target(name, encoded(found))
+
+
+@behave.given("a forwarder with a target {name} that has an open flow")
+def make_open_flow(context, name):
+    """Set up a forwarder, and open a flow."""
+    rig = fleet_forwarding_steps.make_rig(context, [foreign_target(name, 7)])
+    assert rig.open(PORT) == documents.target_number(name)
+    context.token = rig.view.entries[name].target.token
+
+
+@behave.when("an entry {name} appears that has its token")
+def add_with_token(context, name):
+    """Add an entry that seems to have started earlier."""
+    found = foreign_target(name, 1)
+    assert found.token == context.token
+    position = fleet_forwarding_steps.at_revision(20)
+    assert context.fleet.view.apply_target(found, position)
+
+
+@behave.then("packets of the flow still reach {name}")
+@behave.then("packets with this token reach {name}")
+def check_token(context, name):
+    """Check where a packet with the token goes."""
+    ack = fleet_forwarding_steps.ACK
+    sent = context.fleet.handle(
+        fleet_forwarding_steps.packet(PORT, ack, token=context.token)
+    )
+    number = documents.target_number(name)
+    assert [found[0][:8] for found in sent] == [number.to_bytes(8, "big")], sent
+
+
+@behave.then("the entry {name} gets no new flows")
+def check_no_flows(context, name):
+    """Check the candidates."""
+    names = [found.target.name for found in context.fleet.view.candidates("desk")]
+    assert names and name not in names, names
+
+
+@behave.when("the target {name} is removed")
+def remove_known(context, name):
+    """Remove a target."""
+    position = fleet_forwarding_steps.at_revision(30)
+    assert context.fleet.view.remove_target(name, position)
+
+
+@behave.when("flows as old as that have ended")
+def end_flows(context):
+    """Let more than the longest life of a flow pass, until another target leaves."""
+    rig = context.fleet
+    rig.now += rig.view.flow_age_limit_s + 1.0
+    found = fleet_forwarding_steps.target(0x77)
+    rig.view.apply_target(found, fleet_forwarding_steps.at_revision(40))
+    rig.view.remove_target(found.name, fleet_forwarding_steps.at_revision(41))
+
+
+@behave.then("the entry {name} gets new flows")
+def check_flows(context, name):
+    """Check the candidates, and where the token leads."""
+    names = [found.target.name for found in context.fleet.view.candidates("desk")]
+    assert name in names, names
+    check_token(context, name)
+
+
+@behave.when(
+    "it lists {first} born {born:d} and {second} born {later:d} with one token"
+)
+def list_two(context, first, born, second, later):
+    """Apply a first listing."""
+    rig = context.fleet
+    position = fleet_forwarding_steps.at_revision(20)
+    for name, started_ms in ((first, born), (second, later)):
+        rig.view.apply_target(foreign_target(name, started_ms), position)
+    rig.view.targets_listed = True
+    context.token = rig.view.entries[first].target.token
+    assert rig.view.entries[second].target.token == context.token
