Split a page with an unreadable entry in a few steps for each

A host that got a page of a listing or a watch with one entry that cannot be decoded split the whole page in Python, token by token: 1.4 s of processor time for 0.9 MB with an entry of 100,000 levels, 0.74 s with a control character. A host with a tenth of a core stood still for many seconds at each listing while the entry remained.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -119,3 +119,14 @@
       | i-1 born 0             | i-500000004 born 7     | i-500000004 |
       | i-1 born 7             | i-500000004 born 7     | i-1         |
       | i-500000004 born 7     | i-1 born 7             | i-1         |
+
+  Scenario Outline: One unreadable entry does not make a page slow to read
+    Given a <page> of 3000 entries, one of them <fault>
+    Then all 3000 are split, in at most <count> steps for each
+
+    Examples:
+      | page    | fault                   | count |
+      | listing | with a control character | 5    |
+      | listing | nested 100000 levels deep | 5   |
+      | watch   | with a control character | 15   |
+      | watch   | nested 100000 levels deep | 15  |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import math
+import unittest.mock
 
 import behave
 import fleet_forwarding_steps
@@ -14,7 +15,7 @@
 from hypothesis import strategies
 
 from basilgate import documentmerge, documentrelay, fleetmodel, peertable
-from platformedge import bounds, documents, store
+from platformedge import bounds, documents, jsonparts, store
 from standins import fleetstore
 
 NAME = "i-000000aa"
@@ -379,3 +380,49 @@
     rig.view.targets_listed = True
     context.token = rig.view.entries[first].target.token
     assert rig.view.entries[second].target.token == context.token
+
+
+class CountingPattern:
+    """Counts the matches of a pattern."""
+
+    def __init__(self, pattern):
+        self.pattern = pattern
+        self.count = 0
+
+    def finditer(self, *arguments):
+        """Yield the matches."""
+        for match in self.pattern.finditer(*arguments):
+            self.count += 1
+            yield match
+
+
+def stored_entry(number, spec):
+    """Return an entry as the store lists it."""
+    meta = {"name": f"i-{number:010x}", "rev": number, "created": 1, "finalizers": []}
+    return {"meta": meta, "spec": spec, "status": None}
+
+
+@behave.given("a {page} of {count:d} entries, one of them {fault}")
+def make_page(context, page, count, fault):
+    """Encode a page."""
+    items = [stored_entry(number, entry(9)) for number in range(count)]
+    odd = b'"\x01"' if fault.startswith("with") else b"[" * 100_000 + b"]" * 100_000
+    items[count // 2]["spec"]["service"] = fleetstore.RawJson(odd)
+    if page == "listing":
+        body, decode = {"items": items, "as-of": 7}, documents.decode_listing
+    else:
+        events = [{"object": item, "deleted": False} for item in items]
+        body, decode = {"events": events, "as-of": 7}, documents.decode_events
+    context.page, context.decode = fleetstore.encode(body), decode
+
+
+@behave.then("all {count:d} are split, in at most {limit:d} steps for each")
+def check_steps(context, count, limit):
+    """Count the steps that are made in Python."""
+    counting = CountingPattern(jsonparts.TOKEN)
+    with unittest.mock.patch.object(jsonparts, "TOKEN", counting):
+        decoded = context.decode(context.page)
+    assert isinstance(decoded, documents.WireListing | documents.WireEvents)
+    found = getattr(decoded, "items", None) or decoded.events
+    assert len(found) == count, len(found)
+    assert 0 < counting.count <= limit * count, counting.count
