Take messages between hosts with numbers out of bounds as malformed

A report or a relayed message could hold versions, revisions, eras and tokens that are negative or of 64 bits, names of any length, and NaN or infinity as the time for which an evacuation is held: with NaN the hold would never end, and with a huge revision its receiver would hold each peer for newer than itself.

The fields have the types of `platformedge.bounds` now, as documents have. What a host takes from the store has the same bounds, so that it can always be passed on: before, a revision beyond 64 bits raised OverflowError in each connection that relays it.

--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from basilgate import clock, documentmerge, fleetmodel
-from platformedge import documents, store
+from platformedge import bounds, documents, store
 
 MAX_TOMBSTONES = 10_000  # Targets that are replaced within a day at a large site.
 # Position of a kind of which nothing is cached, before that of any listing.
@@ -16,7 +16,7 @@
 
 # Documents that the store lost and that stay known for a time, by name: the remaining
 # time in seconds, and the position up to which the store is known not to have them.
-Holds = dict[str, tuple[float, fleetmodel.Position]]
+Holds = dict[bounds.Name, tuple[bounds.Seconds, fleetmodel.Position]]
 
 ApplyChanges = collections.abc.Callable[[list[documents.StoredDocument], bool], None]
 
--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -25,7 +25,7 @@
     fleetmodel,
     peertable,
 )
-from platformedge import documents, store
+from platformedge import bounds, documents, store
 
 LENGTH_PREFIX = struct.Struct(">I")  # Compressed length of a message, in bytes.
 # Decompressed size; far above a configuration as large as the store allows.
@@ -52,8 +52,8 @@
 class Subscription(msgspec.Struct, array_like=True):
     """First message of a downstream: its host name, and its digest of each kind."""
 
-    host: str
-    digests: dict[str, int]
+    host: bounds.Name
+    digests: dict[bounds.Name, bounds.Unsigned32]
 
 
 class DocumentFrame(msgspec.Struct, array_like=True):
@@ -71,16 +71,16 @@
     the downstream now has all that the upstream has, and is None in other messages.
     """
 
-    kind: str
-    revision: int
+    kind: bounds.Name
+    revision: bounds.Revision
     complete: bool
-    documents: list[tuple[str, int, bytes]]
+    documents: list[tuple[bounds.Name, bounds.Revision, bytes]]
     reads: bool
-    era: int = 0
-    confirmed: dict[str, fleetmodel.Position] = {}
-    unstored: dict[str, int | None] = {}
+    era: bounds.Era = 0
+    confirmed: dict[bounds.Name, fleetmodel.Position] = {}
+    unstored: dict[bounds.Name, bounds.Revision | None] = {}
     held: documentcache.Holds = {}
-    sent: dict[str, fleetmodel.Position] | None = None
+    sent: dict[bounds.Name, fleetmodel.Position] | None = None
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/basilgate/fleetmodel.py
+++ b/basilgate/fleetmodel.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from platformedge import bounds
+
 Address = tuple[str, int]  # IPv4 address as text, and port.
 
 
@@ -34,8 +36,8 @@
         Number of the last change up to this point, counted by the store.
     """
 
-    era: int
-    revision: int
+    era: bounds.Era
+    revision: bounds.Revision
 
     def __str__(self) -> str:
         return f"{self.era}.{self.revision}" if self.era else str(self.revision)
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -10,12 +10,13 @@
 import random
 import socket
 import time
+import typing
 import zlib
 
 import msgspec
 
 from basilgate import counters, eventlog, fleetmodel
-from platformedge import documents
+from platformedge import bounds, documents
 
 REPORT_INTERVAL_S = 0.15  # Shorter than a caller's first retransmission delay.
 # Three report intervals, so that one lost datagram does not count as silence.
@@ -49,6 +50,7 @@
 PEER_ADDRESS_INTERVALS = 5  # Intervals between two reports with these addresses.
 RECEIVE_BYTES = 8_192  # Enough for a report with the loads of about 500 targets.
 MAX_RUNNING = 1e6  # Running requests at a target in a report; more are malformed.
+Running = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_RUNNING)]
 
 
 class Report(msgspec.Struct, array_like=True):
@@ -64,19 +66,19 @@
     is the revision of the latest change of an evacuation, 0 if none is known in `era`.
     """
 
-    host: str
-    domain: str
-    ip: str
-    started_ms: int
-    config_version: int
-    newest_target: int
+    host: bounds.Name
+    domain: bounds.Name
+    ip: bounds.AddressText
+    started_ms: bounds.UnixMilliseconds
+    config_version: bounds.Version
+    newest_target: bounds.Revision
     reads: bool
-    loads: dict[int, tuple[int, float]]
-    suspects: list[int]
-    lost: list[int]
-    neighbours: list[str]
-    era: int = 0
-    newest_evacuation: int = 0
+    loads: dict[bounds.Unsigned32, tuple[bounds.Count, Running]]
+    suspects: list[bounds.Unsigned32]
+    lost: list[bounds.Unsigned32]
+    neighbours: list[bounds.AddressText]
+    era: bounds.ConfirmedEra = 0
+    newest_evacuation: bounds.Revision = 0
 
     @property
     def newest_position(self) -> fleetmodel.Position:
@@ -98,17 +100,14 @@
 def decode_report(datagram: bytes) -> Report | None:
     """Return the report in a datagram, None if it is malformed.
 
-    A report is malformed if it does not decode, an address is none, or a load is no
-    number that may be added to others.
+    A report is malformed if it does not decode, a number is out of bounds, or an
+    address is none.
     """
     try:
         report = DECODER.decode(datagram)
     except documents.DECODE_ERRORS:
         return None
-    valid = all(
-        flows >= 0 and 0 <= running <= MAX_RUNNING
-        for flows, running in report.loads.values()
-    ) and all(map(fleetmodel.is_ipv4_address, report.neighbours))
+    valid = all(map(fleetmodel.is_ipv4_address, report.neighbours))
     return report if valid else None
 
 
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -130,3 +130,62 @@
       | listing | nested 100000 levels deep | 5   |
       | watch   | with a control character | 15   |
       | watch   | nested 100000 levels deep | 15  |
+
+  Scenario Outline: A report with a number out of bounds is malformed
+    When a peer's report has <value> as <field>
+    Then the report is malformed
+
+    Examples:
+      | field                | value          |
+      | the start            | -1             |
+      | the start            | 63 bits        |
+      | the version          | -1             |
+      | the version          | 64 bits        |
+      | the newest target    | -1             |
+      | the newest target    | 64 bits        |
+      | the newest evacuation | -1            |
+      | the newest evacuation | 64 bits       |
+      | the era              | -1             |
+      | the era              | 63 bits        |
+      | a load's token       | -1             |
+      | a load's token       | 64 bits        |
+      | a load's flows       | -1             |
+      | a load's flows       | 64 bits        |
+      | a load's requests    | NaN            |
+      | a load's requests    | -0.5           |
+      | a suspect            | 64 bits        |
+      | an unreachable target | -1            |
+      | the host             | 2000 letters   |
+      | the failure domain   | 2000 letters   |
+
+  Scenario Outline: A relayed message with a number out of bounds is malformed
+    When a relayed message has <value> as <field>
+    Then the message is malformed
+
+    Examples:
+      | field                   | value        |
+      | the revision            | -1           |
+      | the revision            | 64 bits      |
+      | a document's revision   | -1           |
+      | a document's revision   | 64 bits      |
+      | a document's name       | 2000 letters |
+      | the era                 | -2           |
+      | the era                 | 63 bits      |
+      | a confirmed era         | 63 bits      |
+      | a confirmed revision    | 64 bits      |
+      | an unstored revision    | -1           |
+      | the time of a hold      | NaN          |
+      | the time of a hold      | Infinity     |
+      | the time of a hold      | -1           |
+      | the revision of a hold  | -1           |
+      | a sent revision         | 64 bits      |
+      | a digest                | -1           |
+      | a digest                | 64 bits      |
+      | the host                | 2000 letters |
+
+  Scenario: Any report is malformed or can be used
+    Given a host with neighbours
+    Then any report is malformed, or its loads can be added up
+
+  Scenario: Any relayed message is malformed or can be applied
+    Then any relayed message is malformed, or can be applied
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -7,14 +7,22 @@
 import unittest.mock
 
 import behave
+import fleet_catch_up_steps
 import fleet_forwarding_steps
 import hypothesis
 import msgspec
 from config_check_steps import JSON_VALUES, good_configuration, places, replace
-from fleet_feed_steps import entry
+from fleet_feed_steps import entry, quiet_log
 from hypothesis import strategies
 
-from basilgate import documentmerge, documentrelay, fleetmodel, peertable
+from basilgate import (
+    counters,
+    documentmerge,
+    documentrelay,
+    eventlog,
+    fleetmodel,
+    peertable,
+)
 from platformedge import bounds, documents, jsonparts, store
 from standins import fleetstore
 
@@ -54,6 +62,8 @@
         return int("9" * int(count)) if int(count) < 4_000 else text
     if unit == "letters":
         return "a" * int(count)
+    if unit == "bits":
+        return 2 ** int(count) - 1
     if count == "port":
         return f"10.1.0.9:{unit}"
     return json.loads(text)
@@ -426,3 +436,149 @@
     found = getattr(decoded, "items", None) or decoded.events
     assert len(found) == count, len(found)
     assert 0 < counting.count <= limit * count, counting.count
+
+
+# A report and relayed messages as arrays, and where their fields are.
+REPORT = [
+    *("h1", "d1", "127.0.0.1", 1_700_000_000_000, 5, 7, False, {1: [2, 0.5]}),
+    *([1], [1], ["127.0.0.2"], 1, 7),
+]
+REPORT_FIELDS = {
+    "the host": (0,),
+    "the failure domain": (1,),
+    "the start": (3,),
+    "the version": (4,),
+    "the newest target": (5,),
+    "a load's token": (7, "key"),
+    "a load's flows": (7, 1, 0),
+    "a load's requests": (7, 1, 1),
+    "a suspect": (8, 0),
+    "an unreachable target": (9, 0),
+    "the era": (11,),
+    "the newest evacuation": (12,),
+}
+FRAME = [
+    *("servers", 7, True, [["i-00000001", 7, encoded(entry(9))]], True, 1),
+    *(
+        {"config": [1, 7]},
+        {"i-00000001": 5},
+        {"d1": [3.5, [1, 7]]},
+        {"servers": [1, 7]},
+    ),
+]
+FRAME_FIELDS = {
+    "the revision": (1,),
+    "a document's name": (3, 0, 0),
+    "a document's revision": (3, 0, 1),
+    "the era": (5,),
+    "a confirmed era": (6, "config", 0),
+    "a confirmed revision": (6, "config", 1),
+    "an unstored revision": (7, "i-00000001"),
+    "the time of a hold": (8, "d1", 0),
+    "the revision of a hold": (8, "d1", 1, 1),
+    "a sent revision": (9, "servers", 1),
+}
+SUBSCRIPTION = ["h1", {"servers": 5}]
+SUBSCRIPTION_FIELDS = {"the host": (0,), "a digest": (1, "servers")}
+
+
+def changed_at(message, path, value):
+    """Return a message with a value at a path; `key` stands for the key there."""
+    changed = copy.deepcopy(message)
+    inner = changed
+    for key in path[:-1]:
+        inner = inner[key]
+    if path[-1] == "key":
+        inner[value] = inner.pop(next(iter(inner)))
+    else:
+        inner[path[-1]] = value
+    return msgspec.msgpack.encode(changed)
+
+
+@behave.when("a peer's report has {value} as {field}")
+def change_report(context, value, field):
+    """Change one field of a report."""
+    datagram = changed_at(REPORT, REPORT_FIELDS[field], value_of(value))
+    context.report = peertable.decode_report(datagram)
+    assert peertable.decode_report(msgspec.msgpack.encode(REPORT)) is not None
+
+
+@behave.then("the report is malformed")
+def check_malformed(context):
+    """Check that there is no report."""
+    assert context.report is None, context.report
+
+
+@behave.when("a relayed message has {value} as {field}")
+def change_message(context, value, field):
+    """Change one field of a message."""
+    sound, fields, context.decoder = FRAME, FRAME_FIELDS, documentrelay.FRAME_DECODER
+    if field in SUBSCRIPTION_FIELDS:
+        sound, fields = SUBSCRIPTION, SUBSCRIPTION_FIELDS
+        context.decoder = documentrelay.SUBSCRIPTION_DECODER
+    context.decoder.decode(msgspec.msgpack.encode(sound))
+    context.message = changed_at(sound, fields[field], value_of(value))
+
+
+@behave.then("the message is malformed")
+def check_message(context):
+    """Check that the message does not decode."""
+    try:
+        decoded = context.decoder.decode(context.message)
+    except documents.DECODE_ERRORS:
+        return
+    raise AssertionError(decoded)
+
+
+def packed(value):
+    """Return a value in MessagePack, which has no integers of more than 64 bits."""
+    try:
+        return msgspec.msgpack.encode(value)
+    except (OverflowError, UnicodeEncodeError):
+        hypothesis.reject()
+
+
+@behave.then("any report is malformed, or its loads can be added up")
+def check_any_report(context):
+    """Record drawn reports."""
+    peers = context.peers
+
+    @hypothesis.given(changed_values(REPORT))
+    def survive(value):
+        report = peertable.decode_report(packed(value))
+        if report is None:
+            return
+        check_numbers(report)
+        peers.record_report(report, 100.0)
+        peers.refresh(100.0)
+        check_numbers(peers.loads)
+        assert peertable.decode_report(peertable.ENCODER.encode(report)) == report
+
+    survive()
+
+
+@behave.then("any relayed message is malformed, or can be applied")
+def check_any_message(context):
+    """Apply drawn messages to a cache."""
+    behave.use_fixture(quiet_log, context)
+    log = eventlog.EventLog(context.null, "h1")
+    counts = counters.Counters()
+
+    @hypothesis.given(changed_values(FRAME))
+    def survive(value):
+        host = fleet_catch_up_steps.CatchUpHost(log, counts)
+        client = documentrelay.RelayClient(None, host.cache, log, counts)
+        try:
+            frame = documentrelay.FRAME_DECODER.decode(packed(value))
+        except documents.DECODE_ERRORS:
+            return
+        check_numbers(frame)
+        client.apply_frame(frame)
+        for kind in host.cache.kinds:
+            listing, complete = host.cache.changes_after(kind, 0) or (None, False)
+            if listing is not None:
+                passed_on = documentrelay.make_frame(kind, listing, complete, True)
+                body = documentrelay.ENCODER.encode(passed_on)
+                assert documentrelay.FRAME_DECODER.decode(body) == passed_on
+
+    survive()
