Name unreadable documents in all commands of the users' platform

`fleet overrides` showed "override: Expected ..." without saying which one, an object whose revision is out of bounds had no name in logs and commands, `fleet routes` did not say why the configuration is not readable, and `fleet override` on an unreadable target said "not found" only. A log line that was cut within `configuration_in_force` ended `fleet trace` with KeyError, and a revision of thousands of digits, an expiry after the year 9999, or an infinite weight ended commands with a traceback.

Errors of documents name the document, and all commands list them, with characters beyond ASCII escaped. Arguments out of bounds end with usage; a weight beyond them would be an override that hosts cannot read.

Tests: features/odd_entries.feature, "Commands ...", "An unreadable configuration is named", "The check of a configuration names", "Numbers out of bounds are refused", "A log line that was cut".

--- a/basilgate/cmdoptions.py
+++ b/basilgate/cmdoptions.py
@@ -77,8 +77,13 @@
         return None
     duration = DURATION.match(text)
     if duration is not None:
-        seconds = int(duration[1]) * DURATION_UNITS_S[duration[2]]
-        return now + datetime.timedelta(seconds=seconds)
+        try:
+            seconds = int(duration[1]) * DURATION_UNITS_S[duration[2]]
+            return now + datetime.timedelta(seconds=seconds)
+        except (OverflowError, ValueError) as error:
+            # ValueError: a number of thousands of digits.
+            message = f"--expires {text}: the end is after the year 9999"
+            raise errors.UsageError(message) from error
     try:
         end = datetime.datetime.fromisoformat(text)
     except ValueError as error:
--- a/basilgate/configcheck/commands.py
+++ b/basilgate/configcheck/commands.py
@@ -87,7 +87,7 @@
         try:
             override = documents.decode_override(document.name, document.content)
         except documents.DocumentError as error:
-            state.unreadable.append(f"{document.name!a}: {error}")
+            state.unreadable.append(str(error))
             continue
         if not override.released:
             overrides.append(override)
--- a/basilgate/fleetcmdline.py
+++ b/basilgate/fleetcmdline.py
@@ -15,7 +15,7 @@
     outcomes,
 )
 from basilgate.configcheck import commands as configcommands
-from platformedge import documents
+from platformedge import bounds, documents
 from platformedge import store as fleetstore
 
 STORE_VARIABLE = "BASILGATE_STORE"
@@ -190,7 +190,10 @@
             raise errors.UsageError(f"kind {kind}: expected one of {allowed}")
         if (kind == "weight") != bool(weight):
             raise errors.UsageError("--weight is needed for weight, and for it only")
-        weight_value = int(cmdoptions.number(weight, "weight")) if weight else None
+        weight_number = cmdoptions.number(weight, "weight") if weight else 0.0
+        if weight_number > bounds.LARGEST:
+            raise errors.UsageError(f"--weight {weight}: at most {bounds.LARGEST}")
+        weight_value = int(weight_number) if weight else None
         expires_at = cmdoptions.moment(expires, clock.utc())
         return perform_on_fleet(
             lambda connection: fleetcommands.set_override(
--- a/basilgate/fleetcommands.py
+++ b/basilgate/fleetcommands.py
@@ -49,6 +49,17 @@
     return Outcome(Exit.NOT_ACCEPTED, [line], {"problem": failure.value})
 
 
+def unreadable_lines(problems: list[str]) -> list[str]:
+    """Return lines that name the documents which cannot be read.
+
+    Characters beyond ASCII are escaped, since not every terminal shows them.
+    """
+    return [
+        f"unreadable: {problem.encode('ascii', 'backslashreplace').decode()}"
+        for problem in problems
+    ]
+
+
 def read_store(connection: store.Connection) -> StoreContents | store.Failure:
     """List and decode the contents of the store.
 
@@ -95,7 +106,7 @@
     elif kind == documents.OVERRIDES_KIND:
         override = documents.decode_override(name, document.content)
         if override.released:
-            record = documents.decode_override_record(document.content)
+            record = documents.decode_override_record(name, document.content)
             contents.released[name] = (record, position)
         else:
             contents.overrides[name] = (override, position)
@@ -144,8 +155,10 @@
     contents = read_store(connection)
     if isinstance(contents, store.Failure):
         return not_accepted(contents, "cannot read the store")
+    problems = unreadable_lines(contents.unreadable)
     if contents.configuration is None:
-        return Outcome(Exit.NOT_FOUND, ["the store has no readable configuration"])
+        line = "the store has no readable configuration"
+        return Outcome(Exit.NOT_FOUND, [line, *problems])
     rows = [("ROUTE", "ADDRESS", "SERVICES")]
     for route in contents.configuration.routes.values():
         address = ".".join(str(byte) for byte in route.key[:4])
@@ -154,7 +167,8 @@
         rows.append((route.name, f"{address}:{port}", split))
     version = contents.configuration.version
     lines = [f"configuration {version}", *outcomes.table(rows)]
-    return Outcome(Exit.OK, lines, {"version": version, "routes": rows[1:]})
+    data = {"version": version, "routes": rows[1:], "unreadable": contents.unreadable}
+    return Outcome(Exit.OK, lines + problems, data)
 
 
 def show_targets(connection: store.Connection, service: str) -> Outcome:
@@ -184,8 +198,7 @@
                 str(position),
             )
         )
-    lines = outcomes.table(rows)
-    lines += [f"unreadable: {problem}" for problem in contents.unreadable]
+    lines = outcomes.table(rows) + unreadable_lines(contents.unreadable)
     code = Exit.OK if len(rows) > 1 else Exit.NOT_FOUND
     return Outcome(
         code, lines, {"targets": rows[1:], "unreadable": contents.unreadable}
@@ -199,7 +212,8 @@
         return not_accepted(contents, "cannot read the store")
     if name not in contents.targets:
         related = [problem for problem in contents.unreadable if name in problem]
-        lines = [f"not found: target {name} has no readable entry", *related]
+        lines = [f"not found: target {name} has no readable entry"]
+        lines += unreadable_lines(related)
         return Outcome(Exit.NOT_FOUND, lines)
     target, position = contents.targets[name]
     override = active_overrides(contents).get((target.service, name))
@@ -282,7 +296,9 @@
     if isinstance(contents, store.Failure):
         return not_accepted(contents, "cannot read the store")
     if target not in contents.targets:
-        return Outcome(Exit.NOT_FOUND, [f"not found: target {target}"])
+        related = [problem for problem in contents.unreadable if target in problem]
+        lines = [f"not found: target {target}", *unreadable_lines(related)]
+        return Outcome(Exit.NOT_FOUND, lines)
     delete_old_releases(connection, contents)
     operation_id = secrets.token_hex(8)
     created_at_s = clock.unix_s()
@@ -362,7 +378,7 @@
     if isinstance(stored, store.Failure):
         return outcome_unknown(action)
     try:
-        override = documents.decode_override_record(stored.content)
+        override = documents.decode_override_record(name, stored.content)
     except documents.DocumentError as error:
         return Outcome(Exit.CONFLICT, [f"conflict: {error}"])
     if override.operation == operation_id:
@@ -457,7 +473,7 @@
     if isinstance(stored, store.Failure):
         return None
     try:
-        return documents.decode_override_record(stored.content)
+        return documents.decode_override_record(stored.name, stored.content)
     except documents.DocumentError:
         return None
 
@@ -471,7 +487,7 @@
     problems = list(listing.unreadable)
     for document in listing.documents:
         try:
-            override = documents.decode_override_record(document.content)
+            override = documents.decode_override_record(document.name, document.content)
         except documents.DocumentError as error:
             problems.append(str(error))
             continue
@@ -490,8 +506,8 @@
             expires,
         )
         rows.append((*row, str(document.position)))
-    lines = outcomes.table(rows) + [f"unreadable: {problem}" for problem in problems]
-    return Outcome(Exit.OK, lines, {"overrides": rows[1:]})
+    lines = outcomes.table(rows) + unreadable_lines(problems)
+    return Outcome(Exit.OK, lines, {"overrides": rows[1:], "unreadable": problems})
 
 
 def show_evacuations(connection: store.Connection) -> Outcome:
@@ -503,7 +519,6 @@
     for domain, position in sorted(contents.evacuations.items()):
         count = sum(target.domain == domain for target, _ in contents.targets.values())
         rows.append((domain, str(count), str(position)))
-    lines = outcomes.table(rows)
-    lines += [f"unreadable: {problem}" for problem in contents.unreadable]
+    lines = outcomes.table(rows) + unreadable_lines(contents.unreadable)
     data = {"evacuations": rows[1:], "unreadable": contents.unreadable}
     return Outcome(Exit.OK, lines, data)
--- a/basilgate/fleetmodel.py
+++ b/basilgate/fleetmodel.py
@@ -1,6 +1,7 @@
 """Types of the packet path: packets, routes, targets, overrides, and settings."""
 
 import collections.abc
+import re
 import socket
 import typing
 
@@ -9,6 +10,8 @@
 from platformedge import bounds
 
 Address = tuple[str, int]  # IPv4 address as text, and port.
+# Era, if there is one, and revision, each with as many digits as it may have.
+POSITION = re.compile(r"(?:([0-9]{1,9})\.)?([0-9]{1,19})")
 
 
 def is_ipv4_address(text: str) -> bool:
@@ -45,10 +48,8 @@
     @classmethod
     def parse(cls, text: str) -> "Position | None":
         """Return the position that `str` shows like this, None if there is none."""
-        era, _, revision = text.rpartition(".")
-        if not (era or "0").isdecimal() or not revision.isdecimal():
-            return None
-        return cls(int(era or "0"), int(revision))
+        form = POSITION.fullmatch(text)
+        return cls(int(form[1] or "0"), int(form[2])) if form else None
 
 
 class Packet(msgspec.Struct, gc=False):
--- a/basilgate/fleettrace.py
+++ b/basilgate/fleettrace.py
@@ -10,6 +10,7 @@
 # Lines logged longer than this before or after the flow's own lines count as unrelated.
 # A caller's deadline and its longest retransmission delay are well below this.
 CONTEXT_S = 10.0
+MAX_DIGITS = 20  # A longer number is none that hosts write.
 # Time that the platform allows until a new configuration is in force on all hosts.
 IN_FORCE_LIMIT_S = 3.0
 
@@ -142,12 +143,12 @@
     """Find a line of the flow with an older configuration than in force elsewhere."""
     del placement_lines
     for line in flow_lines:
-        version = int(line.pairs.get("config_version", 0))
+        version = number_in(line, "config_version")
         newer = [
             other
             for other in nearby_lines
             if other.event == "configuration_in_force"
-            and int(other.pairs["version"]) > version
+            and number_in(other, "version") > version
             and other.time < line.time - IN_FORCE_LIMIT_S
         ]
         if version and newer:
@@ -160,6 +161,13 @@
     return None
 
 
+def number_in(line: LogLine, key: str) -> int:
+    """Return the number of a key, 0 if the line was cut or changed there."""
+    text = line.pairs.get(key, "")
+    is_number = text.isascii() and text.isdecimal() and len(text) < MAX_DIGITS
+    return int(text) if is_number else 0
+
+
 def find_evacuation(
     nearby_lines: list[LogLine],
     flow_lines: list[LogLine],
--- a/basilgate/overriderestore.py
+++ b/basilgate/overriderestore.py
@@ -130,7 +130,7 @@
 def is_in_effect(document: documents.StoredDocument) -> bool:
     """Return whether the store has to hold an override, or to know of its end."""
     try:
-        record = documents.decode_override_record(document.content)
+        record = documents.decode_override_record(document.name, document.content)
     except documents.DocumentError:
         return False
     if document.removed or record.released_at_s is not None:
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -189,3 +189,77 @@
 
   Scenario: Any relayed message is malformed or can be applied
     Then any relayed message is malformed, or can be applied
+
+  Scenario Outline: Commands show the sound entries and name the unreadable ones
+    Given a store with 2 targets
+    And odd entries and odd overrides beside them
+    When basilgate is called with fleet <command>
+    Then the command ends with <code> and names <sound>
+    And it names what cannot be read in lines of ordinary length
+
+    Examples:
+      | command              | code      | sound                |
+      | targets              | OK        | i-00000002           |
+      | targets desk         | OK        | i-00000001           |
+      | routes               | OK        | configuration 5      |
+      | evacuations          | OK        | DOMAIN               |
+
+  Scenario Outline: Commands about one entry say what cannot be read of it
+    Given a store with 2 targets
+    And odd entries and odd overrides beside them
+    When basilgate is called with fleet <command>
+    Then the command ends with <code> and names <what>
+
+    Examples:
+      | command                                   | code      | what                 |
+      | explain i-00000001                        | OK        | new flows: yes       |
+      | explain i-000000ab                        | NOT_FOUND | target 'i-000000ab': Expected |
+      | override i-000000ab pull --operator Ana   | NOT_FOUND | target 'i-000000ab': Expected |
+      | override i-00000001 pull --operator Ana   | OK        | accepted             |
+      | overrides                                 | OK        | override 'i-00000002': Expected |
+      | override i-00000002 pull --operator Ana   | CONFLICT  | override 'i-00000002': Expected |
+
+  Scenario: An unreadable configuration is named, and targets are shown
+    Given a store with 2 targets
+    And a configuration in the store that is nested too deep
+    When basilgate is called with fleet routes
+    Then the command ends with NOT_FOUND and names unreadable: configuration
+    When basilgate is called with fleet targets
+    Then the command ends with OK and names i-00000002
+
+  Scenario: The check of a configuration names what it cannot read in the store
+    Given a store with 2 targets
+    And a good configuration
+    And its config-version is 6
+    And its routes/2/traffic-split is [{"service": "desk", "weight": 1}]
+    And its services/1 is absent
+    And odd entries and odd overrides beside them
+    When fleet check is called against the store
+    Then the command ends with OK and names differences from the version in force
+    And it names what cannot be read in lines of ordinary length
+
+  Scenario Outline: Numbers out of bounds are refused as arguments
+    Given a store with 2 targets
+    When basilgate is called with fleet <arguments>
+    Then it ends with USAGE
+
+    Examples:
+      | arguments                                                     |
+      | override i-00000001 weight --weight 1e400 --operator Ana      |
+      | override i-00000001 weight --weight 1e30 --operator Ana       |
+      | override i-00000001 pull --expires 99999999999d --operator Ana |
+      | release i-00000001 9999999999.5                               |
+      | release i-00000001 99999999999999999999                       |
+      | release i-00000001 ٣                                          |
+
+  Scenario Outline: A log line that was cut or changed does not end a trace
+    Given a forwarder with 3 targets
+    When a flow opens
+    And a log line says <line>
+    Then the trace of 100.64.0.7:2000>198.18.0.1:443 says not_found
+
+    Examples:
+      | line                                              |
+      | event=configuration_in_force host=h2              |
+      | event=configuration_in_force host=h2 version=nine |
+      | event=configuration_in_force host=h2 version=٣    |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import math
+import os
 import unittest.mock
 
 import behave
@@ -582,3 +583,46 @@
                 assert documentrelay.FRAME_DECODER.decode(body) == passed_on
 
     survive()
+
+
+DEEP = b"[" * 100_000 + b"]" * 100_000
+# Odd entries of targets, by name.
+ODD_ENTRIES = {
+    "i-000000aa": fleetstore.RawJson(DEEP),
+    "i-000000ab": entry(9, slots=fleetstore.RawJson(b"9" * 400)),
+    "i-000000ac": entry(9, address="10.1.0.9:99999"),
+    "i-000000ad": entry(9, seq=fleetstore.RawJson(b"9" * 5_000)),
+    "i-000000ae": fleetstore.RawJson(b'["\\ud800"]'),
+    "odd-entry": entry(9),
+}
+
+
+@behave.given("odd entries and odd overrides beside them")
+def add_odd_entries(context):
+    """Put odd entries and an odd override."""
+    for name, spec in ODD_ENTRIES.items():
+        context.store.put(documents.TARGETS_KIND, name, spec)
+    weight = fleetstore.RawJson(b"9" * 400)
+    spec = {**OVERRIDE, "target": "i-00000002", "weight": weight}
+    context.store.put(documents.OVERRIDES_KIND, "i-00000002", spec)
+
+
+@behave.then("it names what cannot be read in lines of ordinary length")
+def check_named(context):
+    """Check that each odd entry has a line."""
+    unreadable = [line for line in context.output.splitlines() if "unreadable" in line]
+    for name in (*ODD_ENTRIES, "override 'i-00000002'"):
+        assert any(name in line for line in unreadable), (name, unreadable)
+    assert max(map(len, context.output.splitlines())) < 500, context.output
+
+
+@behave.given("a configuration in the store that is nested too deep")
+def spoil_configuration(context):
+    """Replace the configuration."""
+    context.store.put("config", "main", fleetstore.RawJson(DEEP))
+
+
+@behave.when("a log line says {pairs}")
+def write_line(context, pairs):
+    """Write a line as another program may leave it."""
+    os.write(context.log_descriptor, f"time=1000000995.000 {pairs}\n".encode())
