Let an odd object of the platform hide no others from balancers

An object of the balancers' platform whose value is a list, nested too deep, or holds a number of thousands of digits or a control character made the whole answer invalid: as long as it stood, no balancer learned of any other change, and a restarted one of no configuration at all. A revision of `Infinity` ended the read with OverflowError.

An answer that does not decode as a whole is now split, and a value that cannot be read becomes one that the replica refuses: it keeps the version that it had, and counts and logs the object by name once. Versions and revisions, which the platform itself writes, have bounds; beyond them the answer is invalid. Answers to writes stay as strict as they were.

--- a/basilgate/platformapi.py
+++ b/basilgate/platformapi.py
@@ -15,6 +15,7 @@
 from returns import result
 
 from basilgate import logs, metrics, storedobjects
+from platformedge import bounds, jsonparts
 
 LOGGER = logbook.Logger("platformapi")
 
@@ -32,6 +33,12 @@
 SLOW_ANSWER_S = 6.0
 
 
+OBJECTS_MEMBER = b'"objects"'  # Name of a listing's member, as JSON.
+# Stands for a value that cannot be read. No kind of object has this field, so such an
+# object is refused by its name, as any other malformed one.
+UNREADABLE: dict[str, typing.Any] = {"unreadable": True}
+
+
 class ProblemKind(enum.Enum):
     """Why a call to the platform gave no result."""
 
@@ -221,7 +228,7 @@
     ) -> result.Result[storedobjects.StoredObject, Problem]:
         """Return one object."""
         answer = await self.call("GET", f"/objects/{name}", self.read_timeout_s)
-        return answer.bind(parse_safely(parse_object))
+        return answer.bind(parse_safely(parse_read_object))
 
     async def list(self, prefix: str = "") -> result.Result[Listing, Problem]:
         """Return all objects whose names start with `prefix`."""
@@ -372,7 +379,7 @@
     try:
         body = response.json()
     except (ValueError, RecursionError):
-        body = {}
+        body = split_body(response.content)
     if not isinstance(body, dict):
         body = {}
     if response.status_code == 200:
@@ -394,6 +401,48 @@
     )
 
 
+def split_body(content: bytes) -> dict[str, typing.Any]:
+    """Return what can be read of a body that does not decode as a whole.
+
+    An unreadable value, such as one that is nested too deep, becomes `UNREADABLE`, so
+    that it hides neither its object's name nor the other objects. The result is empty
+    if the body is neither a listing nor an object with a name.
+    """
+    try:
+        members = jsonparts.members(content)
+        raw_objects = members.pop(OBJECTS_MEMBER, None)
+        body = decode_members(members)
+        if raw_objects is not None:
+            body["objects"] = [
+                decode_members(jsonparts.members(raw))
+                for raw in jsonparts.elements(raw_objects)
+            ]
+    except (ValueError, TypeError, RecursionError):
+        # TypeError: a member's name is no text.
+        return {}
+    has_name = isinstance(body.get("name"), str)
+    return body if raw_objects is not None or has_name else {}
+
+
+def decode_members(
+    members: collections.abc.Mapping[bytes, bytes],
+) -> dict[str, typing.Any]:
+    """Return a JSON object's members, decoded one by one.
+
+    Raises
+    ------
+    ValueError, TypeError, RecursionError
+        If a member's name is malformed.
+    """
+    decoded = {}
+    for name, value in members.items():
+        try:
+            decoded[json.loads(name)] = json.loads(value)
+        except (ValueError, RecursionError):
+            decoded[json.loads(name)] = UNREADABLE
+    return decoded
+
+
 Parsed = typing.TypeVar("Parsed")
 
 
@@ -405,7 +454,13 @@
     def parse_or_problem(body: dict[str, typing.Any]) -> result.Result[Parsed, Problem]:
         try:
             return result.Success(parse(body))
-        except (KeyError, TypeError, ValueError, RecursionError) as error:
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            OverflowError,
+            RecursionError,
+        ) as error:
             return result.Failure(Problem(ProblemKind.INVALID, repr(error)))
 
     return parse_or_problem
@@ -417,16 +472,45 @@
     Raises
     ------
     KeyError, TypeError, ValueError
-        If a field is missing or has the wrong type.
+        If a field is missing or has the wrong type, or a number is out of bounds.
     """
     value = body["value"]
     if value is not None and not isinstance(value, dict):
         raise ValueError("value is not an object")
     return storedobjects.StoredObject(
-        str(body["name"]), int(body["version"]), int(body["revision"]), value
+        str(body["name"]), natural(body["version"]), natural(body["revision"]), value
     )
 
 
+def parse_read_object(body: dict[str, typing.Any]) -> storedobjects.StoredObject:
+    """Return an object that was read; `UNREADABLE` takes the place of an odd value.
+
+    Another writer may have left it. It must not hide the other objects of a listing.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If another field is missing or has the wrong type.
+    """
+    is_odd = not isinstance(body["value"], dict | None)
+    return parse_object({**body, "value": UNREADABLE} if is_odd else body)
+
+
+def natural(value: typing.Any) -> int:
+    """Return a number of a version or revision.
+
+    Raises
+    ------
+    ValueError
+        If it is none.
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{type(value).__name__} is not a number of a revision")
+    if not 0 <= value <= bounds.LARGEST_REVISION:
+        raise ValueError("number of a revision is out of bounds")
+    return value
+
+
 def parse_listing(body: dict[str, typing.Any]) -> Listing:
     """Return the listing in a decoded answer.
 
@@ -435,4 +519,6 @@
     KeyError, TypeError, ValueError
         If a field is missing or has the wrong type.
     """
-    return Listing(int(body["revision"]), [parse_object(o) for o in body["objects"]])
+    return Listing(
+        natural(body["revision"]), [parse_read_object(o) for o in body["objects"]]
+    )
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -263,3 +263,46 @@
       | event=configuration_in_force host=h2              |
       | event=configuration_in_force host=h2 version=nine |
       | event=configuration_in_force host=h2 version=٣    |
+
+  Scenario Outline: An odd object of the balancers' platform hides no others
+    Given a configuration replica that holds version 3 of an override
+    When the platform lists version 4 of it with <content> and another override
+    Then the replica has the other override and keeps version 3 of the first
+    And the refusal is counted once and names the object
+
+    Examples:
+      | content                     |
+      | a list                      |
+      | text                        |
+      | a number                    |
+      | 100000 levels               |
+      | a number of 400 digits      |
+      | a number of 5000 digits     |
+      | a control character         |
+      | half a character            |
+      | infinity                    |
+
+  Scenario Outline: An odd object that is read alone is refused by its name
+    Given a configuration replica that holds version 3 of an override
+    When the platform answers a read with version 4 of it and <content>
+    Then the replica keeps version 3 alone
+    And the refusal is counted once and names the object
+
+    Examples:
+      | content                     |
+      | a list                      |
+      | 100000 levels               |
+      | a number of 5000 digits     |
+
+  Scenario Outline: A revision out of bounds makes an answer of the platform invalid
+    When the platform answers with the revision <revision>
+    Then the answer is invalid
+
+    Examples:
+      | revision |
+      | Infinity |
+      | NaN      |
+      | -1       |
+      | 1e400    |
+      | "5"      |
+      | 36893488147419103232 |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -8,9 +8,12 @@
 import unittest.mock
 
 import behave
+import configuration_steps
 import fleet_catch_up_steps
 import fleet_forwarding_steps
+import httpx
 import hypothesis
+import logbook
 import msgspec
 from config_check_steps import JSON_VALUES, good_configuration, places, replace
 from fleet_feed_steps import entry, quiet_log
@@ -22,13 +25,16 @@
     documentrelay,
     eventlog,
     fleetmodel,
+    metrics,
     peertable,
+    platformapi,
 )
 from platformedge import bounds, documents, jsonparts, store
 from standins import fleetstore
 
 NAME = "i-000000aa"
 PORT = 2_001  # Of a caller.
+OTHER_OVERRIDE = "override/o.2"
 FAR_NUMBERS = strategies.sampled_from(
     [10**400, -(10**400), 10**30, -(10**30), 2**64, 2**63, -1, 0, 1e300, -1e300]
     + [math.nan, math.inf, -math.inf, 0.5]
@@ -626,3 +632,86 @@
 def write_line(context, pairs):
     """Write a line as another program may leave it."""
     os.write(context.log_descriptor, f"time=1000000995.000 {pairs}\n".encode())
+
+
+# Values of an object in JSON; text of an override where it is one.
+ODD_OBJECTS = {
+    "a list": b"[1]",
+    "text": b'"text"',
+    "a number": b"5",
+    "100000 levels": DEEP,
+    "a number of 400 digits": b'{"weight":' + b"9" * 400 + b"}",
+    "a number of 5000 digits": b'{"weight":' + b"9" * 5_000 + b"}",
+    "a control character": b'{"id":"\x01"}',
+    "half a character": b'{"id":"\\ud800"}',
+    "infinity": b'{"weight":Infinity}',
+}
+
+
+@behave.when("the platform lists version 4 of it with {content} and another override")
+def list_odd_object(context, content):
+    """Decode a listing as the client of the platform does, and apply it."""
+    other = configuration_steps.value_of(configuration_steps.override())
+    objects = [
+        {"name": configuration_steps.NAME, "version": 4, "revision": 40},
+        {"name": OTHER_OVERRIDE, "version": 1, "revision": 41},
+    ]
+    objects[0]["value"] = fleetstore.RawJson(ODD_OBJECTS[content])
+    objects[1]["value"] = {**other, "id": OTHER_OVERRIDE.split("/")[1]}
+    body = fleetstore.encode({"revision": 50, "objects": objects})
+    answer = platformapi.decode_response(httpx.Response(200, content=body))
+    listing = answer.bind(platformapi.parse_safely(platformapi.parse_listing)).unwrap()
+    with logbook.TestHandler() as context.refusals:
+        for _ in range(2):
+            context.replica.apply_listing(
+                "override/", listing.revision, listing.objects
+            )
+
+
+@behave.when("the platform answers a read with version 4 of it and {content}")
+def read_odd_object(context, content):
+    """Decode an object as the client of the platform does, and apply it."""
+    value = fleetstore.RawJson(ODD_OBJECTS[content])
+    found = {"name": configuration_steps.NAME, "version": 4, "revision": 40}
+    body = fleetstore.encode({**found, "value": value})
+    answer = platformapi.decode_response(httpx.Response(200, content=body))
+    parse = platformapi.parse_safely(platformapi.parse_read_object)
+    with logbook.TestHandler() as context.refusals:
+        assert not context.replica.apply(answer.bind(parse).unwrap())
+
+
+@behave.then("the replica keeps version 3 alone")
+def check_kept(context):
+    """Check the version."""
+    assert context.replica.live_versions() == {configuration_steps.NAME: 3}
+
+
+@behave.then("the replica has the other override and keeps version 3 of the first")
+def check_replica(context):
+    """Check the versions."""
+    versions = context.replica.live_versions()
+    assert versions == {configuration_steps.NAME: 3, OTHER_OVERRIDE: 1}, versions
+
+
+@behave.then("the refusal is counted once and names the object")
+def check_refusal(context):
+    """Check counter and log."""
+    refused = configuration_steps.counted(metrics.OBJECTS_REFUSED)
+    assert refused == context.refused + 1, refused
+    lines = [record.message for record in context.refusals.records]
+    named = [line for line in lines if configuration_steps.NAME in line]
+    assert len(named) == 1, lines
+
+
+@behave.when("the platform answers with the revision {revision}")
+def answer_with(context, revision):
+    """Decode an answer with an odd revision."""
+    body = b'{"objects":[],"revision":' + revision.encode() + b"}"
+    answer = platformapi.decode_response(httpx.Response(200, content=body))
+    context.answer = answer.bind(platformapi.parse_safely(platformapi.parse_listing))
+
+
+@behave.then("the answer is invalid")
+def check_invalid(context):
+    """Check the problem."""
+    assert context.answer.failure().kind is platformapi.ProblemKind.INVALID
