--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -128,8 +128,24 @@
       | page    | fault                   | count |
       | listing | with a control character | 5    |
       | listing | nested 100000 levels deep | 5   |
-      | watch   | with a control character | 15   |
-      | watch   | nested 100000 levels deep | 15  |
+      | watch   | with a control character | 5    |
+      | watch   | nested 100000 levels deep | 5   |
+
+  Scenario Outline: An entry whose brackets or quotes do not match hides no others
+    Given a <page> of 300 entries, one of them <fault>
+    Then the 299 others are read, and the odd one is unreadable by its name
+
+    Examples:
+      | page    | fault                         |
+      | listing | opening 100000 arrays         |
+      | watch   | opening 100000 arrays         |
+      | listing | closing 100000 arrays         |
+      | watch   | closing 100000 arrays         |
+      | listing | opening a string              |
+      | watch   | opening a string              |
+
+  Scenario: No bytes of one entry hide others
+    Then whatever bytes one entry of a page has, the others are read
 
   Scenario Outline: A report with a number out of bounds is malformed
     When a peer's report has <value> as <field>
@@ -264,6 +280,45 @@
       | event=configuration_in_force host=h2 version=nine |
       | event=configuration_in_force host=h2 version=٣    |
 
+  Scenario Outline: Hosts follow the store past an odd entry
+    Given a store with 2 targets
+    And three hosts of one failure domain
+    When all hosts have the documents
+    And an odd entry is written, <entry>
+    Then all hosts know 2 targets and say that the entry is unreadable
+    When configuration 9 is written
+    And a target is added beside the odd entry
+    Then all hosts know 3 targets and configuration 9
+    When the odd entry changes and then becomes sound
+    Then all hosts know 4 targets and configuration 9
+    When the entry becomes odd again, <entry>
+    And a fourth host starts
+    Then all hosts know 3 targets and configuration 9
+    And no host has ended
+
+    Examples:
+      | entry                     |
+      | nested 100000 levels deep |
+      | opening 100000 arrays     |
+      | with slots of 400 digits  |
+      | with a port out of range  |
+
+  Scenario Outline: Hosts that start take a list with an odd entry
+    Given a store with 2 targets
+    And an odd entry is written, <entry>
+    And three hosts of one failure domain
+    When the store answers 503 from now on
+    And a fourth host starts
+    Then all hosts know 2 targets and configuration 5
+    And no host has ended
+
+    Examples:
+      | entry                     |
+      | nested 100000 levels deep |
+      | opening 100000 arrays     |
+      | with slots of 400 digits  |
+      | with a port out of range  |
+
   Scenario Outline: An odd object of the balancers' platform hides no others
     Given a configuration replica that holds version 3 of an override
     When the platform lists version 4 of it with <content> and another override
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -5,6 +5,7 @@
 import json
 import math
 import os
+import time
 import unittest.mock
 
 import behave
@@ -16,7 +17,7 @@
 import logbook
 import msgspec
 from config_check_steps import JSON_VALUES, good_configuration, places, replace
-from fleet_feed_steps import entry, quiet_log
+from fleet_feed_steps import entry, eventually, quiet_log
 from hypothesis import strategies
 
 from basilgate import (
@@ -25,6 +26,7 @@
     documentrelay,
     eventlog,
     fleetmodel,
+    forwarder,
     metrics,
     peertable,
     platformapi,
@@ -422,15 +424,76 @@
 @behave.given("a {page} of {count:d} entries, one of them {fault}")
 def make_page(context, page, count, fault):
     """Encode a page."""
-    items = [stored_entry(number, entry(9)) for number in range(count)]
-    odd = b'"\x01"' if fault.startswith("with") else b"[" * 100_000 + b"]" * 100_000
+    context.page, context.decode = encode_page(page, count, FAULTS[fault])
+
+
+# Bytes that take the place of a field of an entry.
+FAULTS = {
+    "with a control character": b'"\x01"',
+    "nested 100000 levels deep": b"[" * 100_000 + b"]" * 100_000,
+    "opening 100000 arrays": b"[" * 100_000,
+    "closing 100000 arrays": b"]" * 100_000,
+    "opening a string": b'"desk',
+}
+
+
+def encode_page(page, count, odd):
+    """Return a page with odd bytes in the entry in its middle, and its decoder."""
+    items = [stored_entry(number, entry(9)) for number in range(1, count + 1)]
     items[count // 2]["spec"]["service"] = fleetstore.RawJson(odd)
     if page == "listing":
         body, decode = {"items": items, "as-of": 7}, documents.decode_listing
     else:
         events = [{"object": item, "deleted": False} for item in items]
         body, decode = {"events": events, "as-of": 7}, documents.decode_events
-    context.page, context.decode = fleetstore.encode(body), decode
+    return fleetstore.encode(body), decode
+
+
+def read_targets(page, decode):
+    """Return the names of the targets in a page, and the problems of the others."""
+    decoded = decode(page)
+    is_listing = isinstance(decoded, documents.WireListing)
+    raws = decoded.items if is_listing else [event.object for event in decoded.events]
+    names, problems = set(), []
+    for raw in raws:
+        try:
+            document = documents.decode_object(bytes(raw), 1)
+            documents.decode_target(document.name, document.content)
+            names.add(document.name)
+        except documents.DocumentError as error:
+            problems.append(str(error))
+    return names, problems
+
+
+def page_names(count):
+    """Return the names in a page, and the one in its middle."""
+    names = [f"i-{number:010x}" for number in range(1, count + 1)]
+    return set(names), names[count // 2]
+
+
+@behave.then("the {count:d} others are read, and the odd one is unreadable by its name")
+def check_others(context, count):
+    """Check names and problems."""
+    names, odd = page_names(count + 1)
+    found, problems = read_targets(context.page, context.decode)
+    assert found == names - {odd}, found ^ names
+    assert len(problems) == 1 and odd in problems[0], problems
+
+
+@behave.then("whatever bytes one entry of a page has, the others are read")
+def check_any_bytes(context):
+    """Put drawn bytes into one entry."""
+    del context
+    names, odd = page_names(5)
+    marks = strategies.sampled_from([b"[", b"]", b"{", b"}", b'"', b"\\", b",", b":"])
+    drawn = strategies.lists(marks | strategies.binary(max_size=3)).map(b"".join)
+
+    @hypothesis.given(strategies.sampled_from(["listing", "watch"]), drawn)
+    def survive(page, content):
+        found, _ = read_targets(*encode_page(page, 5, content))
+        assert names - {odd} <= found <= names, found
+
+    survive()
 
 
 @behave.then("all {count:d} are split, in at most {limit:d} steps for each")
@@ -634,6 +697,77 @@
     os.write(context.log_descriptor, f"time=1000000995.000 {pairs}\n".encode())
 
 
+FOREIGN = "i-000000aa"
+ADDED = "i-000000bb"
+
+
+def odd_content(what):
+    """Return the content of an odd entry."""
+    return {
+        "nested 100000 levels deep": fleetstore.RawJson(DEEP),
+        "opening 100000 arrays": fleetstore.RawJson(b"[" * 100_000),
+        "with slots of 400 digits": entry(8, slots=fleetstore.RawJson(b"9" * 400)),
+        "with a port out of range": entry(8, address="10.1.0.8:99999"),
+    }[what]
+
+
+@behave.step("an odd entry is written, {what}")
+@behave.when("the entry becomes odd again, {what}")
+def write_odd_entry(context, what):
+    """Write an odd entry."""
+    context.store.put(documents.TARGETS_KIND, FOREIGN, odd_content(what))
+
+
+@behave.when("the odd entry changes and then becomes sound")
+def change_odd_entry(context):
+    """Write another odd entry, and a sound one once it may have been read."""
+    spec = entry(8, born=fleetstore.RawJson(b"-1"))
+    context.store.put(documents.TARGETS_KIND, FOREIGN, spec)
+    time.sleep(1.0)
+    context.store.put(documents.TARGETS_KIND, FOREIGN, entry(8))
+
+
+@behave.when("a target is added beside the odd entry")
+def add_beside(context):
+    """Write a sound entry."""
+    context.store.put(documents.TARGETS_KIND, ADDED, entry(7))
+
+
+def known_targets(host):
+    """Return the number of targets that a host lists on its metrics page."""
+    found = host.get(forwarder.METRICS_PORT, forwarder.METRICS_PATH)
+    lines = found[1].splitlines() if found else []
+    counts = [line for line in lines if 'targets{state="listed"}' in line]
+    return int(float(counts[0].split()[-1])) if counts else None
+
+
+@behave.then("all hosts know {count:d} targets and configuration {version:d}")
+def check_known(context, count, version):
+    """Check what hosts have in force."""
+    for host in context.hosts:
+        eventually(
+            lambda host=host: known_targets(host) == count,
+            f"{count} targets at {host.ip}",
+        )
+        eventually(lambda host=host: host.version() == version, f"version {version}")
+
+
+@behave.then("all hosts know {count:d} targets and say that the entry is unreadable")
+def check_unreadable(context, count):
+    """Check the log lines and the targets."""
+    for host in context.hosts:
+        eventually(lambda host=host: names_unreadable(host), "document_unreadable")
+        assert known_targets(host) == count
+
+
+def names_unreadable(host):
+    """Tell whether a host has logged that it cannot read the odd entry."""
+    return any(
+        "event=document_unreadable" in line and FOREIGN in line
+        for line in host.log().splitlines()
+    )
+
+
 # Values of an object in JSON; text of an override where it is one.
 ODD_OBJECTS = {
     "a list": b"[1]",
