Claim no listing that may be old in reports and at the end of a batch

What callers could see: a host counts as current without a change, and sends new flows to a target that leaves. Found by review.

Cause: a host that has only its first listing, which may be old, reported its revision as of the era 0 and confirmed it at the end of a batch. Its downstreams don't take over such a listing, but counted it as received.

Change: such a listing is neither reported nor confirmed; the host has a current one after its first watch.

Test: "A peer's listing that may be old does not count as received" failed before.

--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -87,10 +87,10 @@
     def newest_reported(self, kind: str) -> fleetmodel.Position:
         """Return the position of the latest change of a kind as told to peers.
 
-        A change from a listing that may be old counts as of the era 0.
+        Peers do not take over a listing that may be old, so none is claimed.
         """
         newest = self.newest(kind)
-        return fleetmodel.Position(max(0, newest.era), newest.revision)
+        return newest if newest.era >= 0 else fleetmodel.Position(0, 0)
 
     def raise_era(self, era: int) -> bool:
         """Record an era of the store; return whether it is later than those known."""
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -43,3 +43,10 @@
     And the store falls silent for the first host
     And configuration 9 is written
     Then configuration 9 is in force on the other hosts
+
+  Scenario: A peer's listing that may be old does not count as received
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer has started again and knows a sixth target from a listing that may be old
+    When the host catches up with the peer
+    And another peer reports the sixth target
+    Then the host is still behind
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -1,6 +1,7 @@
 """Steps for hosts that fetch newer documents from a peer."""
 
 import threading
+import time
 import types
 
 import behave
@@ -51,9 +52,11 @@
         self.cache = documentcache.DocumentCache(appliers, threading.Lock())
         self.server = documentrelay.RelayServer(self.cache, bool, log, counts)
 
-    def list_documents(self, targets, version, revision):
-        """Apply listings with some targets and a version of the configuration."""
-        position = fleetmodel.Position(1, revision)
+    def list_documents(self, targets, version, revision, era=0):
+        """Apply listings with some targets and a version of the configuration.
+
+        With `store.UNCONFIRMED_ERA` only that of targets may be old, as at a start.
+        """
         found = {
             documents.TARGETS_KIND: {
                 f"i-{number:08x}": entry(number) for number in range(1, targets + 1)
@@ -62,6 +65,8 @@
             documents.OVERRIDES_KIND: {},
         }
         for kind, specs in found.items():
+            of_targets = kind == documents.TARGETS_KIND
+            position = fleetmodel.Position(era if of_targets else max(0, era), revision)
             stored = [
                 documents.StoredDocument(name, position, fleetstore.encode(spec))
                 for name, spec in specs.items()
@@ -132,6 +137,12 @@
     return found
 
 
+def new_host(context):
+    """Return another host without documents."""
+    log = eventlog.EventLog(context.null, "h2")
+    return CatchUpHost(log, counters.Counters())
+
+
 @behave.given("a host and a peer that both know 5 targets and configuration 5")
 def make_both(context):
     """Set up both with the same documents."""
@@ -175,15 +186,24 @@
 def restart_peer(context):
     """Lose the peer's documents after its report."""
     context.found = report(context, PEER_IP, context.peer)
-    context.former_peer = context.peer
-    log = eventlog.EventLog(context.null, "h2")
-    context.peer = CatchUpHost(log, counters.Counters())
+    context.peer = new_host(context)
+
+
+@behave.given(
+    "the peer has started again and knows a sixth target from a listing that may be old"
+)
+def restart_with_old_listing(context):
+    """Replace the peer by one with a first listing."""
+    context.peer = new_host(context)
+    context.peer.list_documents(6, 5, 11, store.UNCONFIRMED_ERA)
 
 
 @behave.when("another peer reports the sixth target")
 def report_sixth(context):
     """Hear of the target from another peer."""
-    context.found = report(context, READER_IP, context.former_peer)
+    reader = new_host(context)
+    reader.list_documents(6, 5, 11)
+    context.found = report(context, READER_IP, reader)
 
 
 @behave.when("the peer and a host that has stopped report the sixth target")
@@ -199,8 +219,8 @@
     now = clock.steady_s()
     for step in range(round(seconds / STEP_S)):
         for peer in context.peers.peers.values():
-            peer.heard_at += STEP_S
-        context.exchange.check_staleness(context.found, now + step * STEP_S)
+            peer.heard_at = now + step * STEP_S
+            context.exchange.check_staleness(peer.report, peer.heard_at)
         if context.client.is_catching_up():
             context.client.follow_upstream(context.client.newer_peer_ip)
 
@@ -235,3 +255,172 @@
     """Check what the host would tell its downstreams."""
     assert not any(watcher.watches_store for watcher in context.host.watchers)
     context.store.faults.unanswered = ""
+
+
+class PreviousRelayServer(documentrelay.RelayServer):
+    """Sends heartbeats as the previous version does, without the end of a batch."""
+
+    def end_of_batch(self, sent_counts):
+        """Return a heartbeat."""
+        del sent_counts
+        return self.heartbeat()
+
+
+@behave.given("the peer runs the previous version")
+def downgrade_peer(context):
+    """Let the peer never say that a batch has ended."""
+    server = context.peer.server
+    context.peer.server = PreviousRelayServer(
+        server.cache, bool, server.log, server.counts
+    )
+
+
+@behave.when("the host follows the peer for {seconds:g} s")
+def follow_for(context, seconds):
+    """Follow the peer in a thread of its own."""
+    thread = threading.Thread(
+        target=context.client.follow_upstream, args=(PEER_IP,), daemon=True
+    )
+    thread.start()
+    thread.join(seconds)
+    context.left = not thread.is_alive()
+
+
+@behave.then("it has left the peer")
+def check_left(context):
+    """Check that the connection has ended."""
+    assert context.left
+
+
+@behave.when("no waiting call to the store is answered any more")
+def lose_waiting(context):
+    """Lose the answers to the calls in progress; later calls are answered."""
+    context.store.faults.lost_before = time.monotonic()
+
+
+@behave.when("a third target is added to the store")
+def add_third(context):
+    """Add a target."""
+    context.store.put("servers", "i-000000bb", entry(8))
+
+
+@behave.then("the host knows {count:d} targets while its other watches still wait")
+def check_known(context, count):
+    """Check that the change arrives long before the lost watches end."""
+    limit_s = storewatch.WATCH_DURATION_S / 2
+    ends_at = time.monotonic() + limit_s
+    while len(context.host.view.entries) != count:
+        assert time.monotonic() < ends_at, f"not in {limit_s} s"
+        time.sleep(0.02)
+
+
+@behave.given("one peer reports configuration 6 and another the sixth target")
+def make_two_reports(context):
+    """Prepare reports that ask for documents of different kinds."""
+    ahead, other = new_host(context), new_host(context)
+    ahead.list_documents(5, 6, 10)
+    other.list_documents(6, 5, 11)
+    context.now = clock.steady_s()
+    context.reports = [
+        report(context, STOPPED_IP, ahead),
+        report(context, READER_IP, other),
+    ]
+
+
+@behave.when("{seconds:g} s of both reports pass")
+def pass_both(context, seconds):
+    """Take both reports every 0.1 s."""
+    for _ in range(round(seconds / STEP_S)):
+        context.now += STEP_S
+        for found in context.reports:
+            context.peers.peers[found.ip].heard_at = context.now
+            context.exchange.check_staleness(found, context.now)
+
+
+@behave.when("the host gets configuration 6")
+def get_configuration(context):
+    """Meet the first report, and end the transfer."""
+    content = fleetstore.encode(configuration(6))
+    position = fleetmodel.Position(0, 11)
+    stored = documents.StoredDocument(documents.CONFIG_NAME, position, content)
+    listing = store.Listing([stored], position, [])
+    context.host.cache.update(documents.CONFIG_KIND, listing, True)
+    context.client.newer_peer_ip, context.client.newer_peer_until = "", 0.0
+
+
+@behave.then("the host asks the peer that has the sixth target")
+def check_asked(context):
+    """Check who is asked next."""
+    assert context.client.newer_peer_ip == READER_IP
+
+
+@behave.given("a peer reports a configuration that the host cannot read")
+def make_unreadable(context):
+    """Let a version be newer than the host's for good."""
+    ahead = new_host(context)
+    ahead.list_documents(5, 6, 10)
+    context.now = clock.steady_s()
+    context.reports = [
+        report(context, f"127.0.13.{number}", ahead) for number in range(1, 41)
+    ]
+
+
+@behave.when("{seconds:g} s of its reports and those of 39 others pass")
+def count_requests(context, seconds):
+    """Let each transfer end at once, without a change."""
+    context.asked = 0
+    for _ in range(round(seconds / STEP_S)):
+        context.now += STEP_S
+        for found in context.reports:
+            context.peers.peers[found.ip].heard_at = context.now
+            context.exchange.check_staleness(found, context.now)
+            context.asked += context.client.newer_peer_until > 0.0
+            context.client.newer_peer_until = 0.0
+
+
+@behave.then("the host has asked at most {count:d} times")
+def check_requests(context, count):
+    """Check that the host does not ask all peers in turn without an end."""
+    assert 0 < context.asked <= count, context.asked
+
+
+@behave.given(
+    "the host has started with a listing that may be old, in which target 1 leaves"
+)
+def start_with_old_listing(context):
+    """Let the host know a later report of the target than the peer."""
+    host = context.host
+    entries = host.view.entries
+    host.view.entries = {}
+    host.cache.kinds[documents.TARGETS_KIND] = documentcache.KindCache(
+        {}, host.cache.kinds[documents.TARGETS_KIND].apply
+    )
+    position = fleetmodel.Position(store.UNCONFIRMED_ERA, 14)
+    apply_entry(context, position, True, state="draining", seq=7)
+    assert set(entries) > set(host.view.entries)
+
+
+def apply_entry(context, position, complete, **changes):
+    """Apply a listing with the first target alone."""
+    content = fleetstore.encode(entry(1, **changes))
+    stored = documents.StoredDocument("i-00000001", position, content)
+    listing = store.Listing([stored], position, [])
+    context.host.cache.update(documents.TARGETS_KIND, listing, complete)
+
+
+@behave.then("target 1 leaves on the host")
+def check_leaves(context):
+    """Check that the later report holds."""
+    assert context.host.view.entries["i-00000001"].target.leaving
+
+
+@behave.when("the store lists target 1 as ready again")
+def list_ready(context):
+    """Apply a change that the store accepted afterwards."""
+    apply_entry(context, fleetmodel.Position(0, 15), False, state="ready", seq=8)
+
+
+@behave.then("target 1 is ready on the host")
+def check_ready(context):
+    """Check that a later change replaces what was kept."""
+    assert not context.host.view.entries["i-00000001"].target.leaving
