Leave an upstream of the previous version that has lost the store

Cause: a batch ends with a message that hosts of the previous version do not send, so during a roll a downstream stayed at an upstream that no longer watches the store. Found by review.

Change: two heartbeats in a row end a batch as well.

Test: "An upstream of the previous version that lost the store is left" failed before.

--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -392,8 +392,10 @@
         self.newer_peer_until = 0.0
         # The newest change of each kind that an upstream has confirmed to have sent.
         self.received: dict[str, fleetmodel.Position] = {}
-        # Whether the upstream has sent all documents that this host lacked.
+        # Whether the upstream has sent all documents that this host lacked, and whether
+        # its last message was a heartbeat.
         self.batch_ended = False
+        self.heartbeat_received = False
         # Returns whether this host's calls to the store fail. `bool` returns False and
         # is used until the process sets its own function.
         self.store_fails: WatchesStore = bool
@@ -466,7 +468,7 @@
             send_message(connection, Subscription(self.peers.settings.name, digests))
             self.log.write("relay_connected", relay_source=ip)
             self.upstream = ip
-            self.batch_ended = False
+            self.batch_ended = self.heartbeat_received = False
             while not self.may_leave(ip):
                 self.apply_frame(FRAME_DECODER.decode(receive_message(connection)))
             self.log.write("relay_lost", relay_source=ip, reason="other_source")
@@ -486,7 +488,13 @@
         """
         kind = frame.kind or "beat"
         self.counts.add("peer_messages_total", direction="in", kind=kind)
-        self.batch_ended = frame.sent is not None
+        # An upstream of a version without `sent` shows by two heartbeats in a row that
+        # it has nothing left to send.
+        is_heartbeat = not frame.kind
+        self.batch_ended = frame.sent is not None or (
+            is_heartbeat and self.heartbeat_received
+        )
+        self.heartbeat_received = is_heartbeat
         known_era = self.cache.era
         if frame.kind in self.cache.kinds:
             self.apply_documents(frame)
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -50,3 +50,10 @@
     When the host catches up with the peer
     And another peer reports the sixth target
     Then the host is still behind
+
+  Scenario: An upstream of the previous version that lost the store is left
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer runs the previous version
+    And a host that watches the store is heard
+    When the host follows the peer for 2 s
+    Then it has left the peer
