Check the watches of all kinds once the store is regained

What callers could see: entries of targets up to 22 s old on a host that says that it watches the store.

Cause: only the watches of one kind are short. If the connections of waiting calls go silent while new ones work, that watch recovers, and the others wait for the rest of their 20 s.

Change: once the primary watch has recovered, the other kinds check the store. A single lost answer to the watch of another kind is not covered.

Test: "Connections to the store go silent while new ones work" failed before.

--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -207,6 +207,11 @@
         self.check_pending = self.call_aborted = False
         if self.failures:
             self.log.write("store_regained", kind=self.kind, failures=self.failures)
+            if self.primary is None:
+                # Their connections may have failed with this one's, and their watches
+                # would not show it for the rest of `WATCH_DURATION_S`.
+                for watcher in self.siblings:
+                    watcher.check_now()
         self.failures = 0
         self.history_gone = False
         for problem in result.unreadable:
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -57,3 +57,10 @@
     And a host that watches the store is heard
     When the host follows the peer for 2 s
     Then it has left the peer
+
+  Scenario: Connections to the store go silent while new ones work
+    Given a store with 2 targets
+    When a host follows the store for 2 s
+    And no waiting call to the store is answered any more
+    And a third target is added to the store
+    Then the host knows 3 targets while its other watches still wait
--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -126,6 +126,9 @@
         No call is answered, not even a watch that is waiting.
     unanswered : str
         Calls whose path contains this are not answered; empty for none.
+    lost_before : float
+        Calls that began before this time, of the monotonic clock, are never answered,
+        and nothing follows on their connections.
     lose_answers : int
         This many writes take effect and their connection is closed unanswered.
     delay_s : float
@@ -147,6 +150,7 @@
         self.refused = ""
         self.silent = False
         self.unanswered = ""
+        self.lost_before = 0.0
         self.lose_answers = 0
         self.delay_s = 0.0
         self.old: FleetStore | None = None
@@ -288,6 +292,7 @@
         kind = parts.path.split("/")[3]
         self.store.calls[f"{self.command} {kind}"] += 1
         faults = self.faults
+        began_at = time.monotonic()
         time.sleep(faults.delay_s)
         self.wait_while_silent()
         if faults.refused and faults.refused in self.path:
@@ -306,6 +311,10 @@
             self.close_connection = True
             return
         self.wait_while_silent()
+        if began_at < faults.lost_before:
+            self.rfile.read()  # Until the client closes the connection.
+            self.close_connection = True
+            return
         self.answer(status, found)
 
     def wait_while_silent(self) -> None:
