Keep the time of each overdue report, and ask fewer peers in vain

What callers could see: a change that is in force 3.7 s after it was accepted, by the constants of the code, 3 s allowed. Found by review.

Cause: only one report of newer documents was kept. When the peer that was asked had the configuration but not the targets, the report that asked for the targets began its grace of 0.9 s anew. And a host that cannot read a configuration asked another peer every 0.15 s for good.

Change: the first unmet report of each peer keeps its time. Each peer that is asked doubles the delay to the next, from 0.15 to 5 s, until no report is overdue. Within the grace nothing is searched.

--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -1,9 +1,11 @@
 """Sends this host's reports to its peers, and acts on the reports of the peers."""
 
-import operator
+import math
 import threading
 import time
 
+import msgspec
+
 from basilgate import (
     clock,
     documentcache,
@@ -27,11 +29,25 @@
 # Interval at which a stale host asks the store, and the same peer, again. A check of
 # the store has reached its time limit of 1.05 s by then.
 RECHECK_INTERVAL_S = 1.25
+# Delay until a stale host asks the next peer, doubled for each peer that was asked.
+# What this host cannot read stays newer at all peers.
+REQUEST_DELAY_S = 0.15
+MAX_REQUEST_DELAY_S = 5.0
 # A longer gap means that the process was paused. Far longer than a timer is late, and
 # shorter than the 3 s limit for applying a change.
 PAUSE_LIMIT_S = 1.0
 
 
+class NewerReport(msgspec.Struct):
+    """Report of newer documents that this host does not have yet.
+
+    `received_at` is the time at which it came, in seconds of the steady clock.
+    """
+
+    report: peertable.Report
+    received_at: float
+
+
 class ReportExchange:
     """Sends reports of this host, and acts on those of the peers.
 
@@ -96,10 +112,13 @@
         # Whether this host is stopping, so that its downstreams choose another
         # upstream.
         self.stopping = False
-        # Report of a peer that has newer documents, None if none has, and the time, in
-        # seconds of the steady clock, at which it came.
-        self.newer_report: peertable.Report | None = None
-        self.stale_since = 0.0
+        # The first report of each peer that this host has not caught up with, by the
+        # peer's address.
+        self.newer_reports: dict[str, NewerReport] = {}
+        # When the oldest of them came, infinite without any.
+        self.oldest_newer_at = math.inf
+        # Number of peers that were asked since no report was overdue.
+        self.request_count = 0
         # Kinds whose newest change each report names besides the configuration's.
         self.reported_kinds = [
             kind
@@ -107,8 +126,9 @@
             if kind in cache.kinds
         ]
         # Times from which a peer, by its address, any peer, and the store may be asked
-        # again.
+        # again, and from which to look for overdue reports.
         self.next_request_at: dict[str, float] = {}
+        self.request_pause_until = 0.0
         self.next_search_at = 0.0
         self.next_check_at = 0.0
 
@@ -141,47 +161,69 @@
         also checks whether the store still answers. If a peer cannot send what it has
         reported, the next one is asked at once.
         """
-        if self.newer_report is not None and not self.is_newer(self.newer_report):
-            self.newer_report = None
-        if self.newer_report is None:
-            if self.is_newer(report):
-                self.newer_report, self.stale_since = report, now
-            return
-        if now - self.stale_since < STALENESS_GRACE_S or now < self.next_search_at:
+        self.record_newer(report, now)
+        if now - self.oldest_newer_at < STALENESS_GRACE_S or now < self.next_search_at:
             return
         self.next_search_at = now + peertable.REPORT_INTERVAL_S
-        newer = [
-            (peer.heard_at, peer.report)
-            for peer in list(self.peers.peers.values())
-            if peer.report is not None
-            and now - peer.heard_at <= peertable.RECENT_AGE_S
-            and self.is_newer(peer.report)
-        ]
-        if not newer:
-            self.newer_report = None
+        overdue = self.overdue_reports(now)
+        if not overdue:
+            self.request_count = 0
             return
         if not self.relay_client.is_catching_up():
-            self.ask_newer_peer(newer, now)
+            self.ask_newer_peer(overdue, now)
         if self.watches_store() and now >= self.next_check_at:
             self.next_check_at = now + RECHECK_INTERVAL_S
             for watcher in self.watchers:
                 watcher.check_now()
 
-    def ask_newer_peer(
-        self, newer: list[tuple[float, peertable.Report]], now: float
-    ) -> None:
-        """Fetch documents from the peer that was heard last, among those not asked.
+    def record_newer(self, report: peertable.Report, now: float) -> None:
+        """Keep a report of newer documents, unless the peer's earlier one is unmet."""
+        if not self.is_newer(report):
+            self.newer_reports.pop(report.ip, None)
+            return
+        earlier = self.newer_reports.get(report.ip)
+        if earlier is None or not self.is_newer(earlier.report):
+            self.newer_reports[report.ip] = NewerReport(report, now)
+            self.oldest_newer_at = min(self.oldest_newer_at, now)
 
-        `newer` holds the reports of peers with newer documents, with their times.
+    def overdue_reports(self, now: float) -> list[peertable.Report]:
+        """Return the unmet reports of peers heard lately that are older than the grace.
+
+        Forgets the others, except those within the grace.
         """
+        overdue = []
+        for ip, newer in list(self.newer_reports.items()):
+            peer = self.peers.peers.get(ip)
+            if (
+                peer is None
+                or now - peer.heard_at > peertable.RECENT_AGE_S
+                or not self.is_newer(newer.report)
+            ):
+                del self.newer_reports[ip]
+            elif now - newer.received_at >= STALENESS_GRACE_S:
+                overdue.append(newer.report)
+        self.oldest_newer_at = min(
+            (newer.received_at for newer in self.newer_reports.values()),
+            default=math.inf,
+        )
+        return overdue
+
+    def ask_newer_peer(self, overdue: list[peertable.Report], now: float) -> None:
+        """Fetch documents from the peer that was heard last, among those not asked."""
         self.next_request_at = {
             ip: at for ip, at in self.next_request_at.items() if at > now
         }
-        unasked = [found for found in newer if found[1].ip not in self.next_request_at]
-        if not unasked:
+        unasked = [
+            report for report in overdue if report.ip not in self.next_request_at
+        ]
+        if not unasked or now < self.request_pause_until:
             return
-        _, report = max(unasked, key=operator.itemgetter(0))
+        report = max(unasked, key=lambda found: self.peers.peers[found.ip].heard_at)
         self.next_request_at[report.ip] = now + RECHECK_INTERVAL_S
+        self.request_pause_until = now + min(
+            MAX_REQUEST_DELAY_S, REQUEST_DELAY_S * 2 ** min(self.request_count, 10)
+        )
+        self.request_count += 1
         self.log.write(
             "behind_neighbour",
             neighbour=report.host,
@@ -189,7 +231,7 @@
             config_version=self.config_version,
             their_config_version=report.config_version,
             **self.describe_knowledge(report),
-            newer_neighbours=len(newer),
+            newer_neighbours=len(overdue),
             relayed=self.relay_client.is_fresh(),
             relay_source=self.relay_client.upstream or "none",
         )
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -64,3 +64,17 @@
     And no waiting call to the store is answered any more
     And a third target is added to the store
     Then the host knows 3 targets while its other watches still wait
+
+  Scenario: An overdue report keeps its time when that of another peer is met
+    Given a host and a peer that both know 5 targets and configuration 5
+    And one peer reports configuration 6 and another the sixth target
+    When 1 s of both reports pass
+    And the host gets configuration 6
+    And 0.3 s of both reports pass
+    Then the host asks the peer that has the sixth target
+
+  Scenario: A configuration that cannot be read does not flood the peers
+    Given a host and a peer that both know 5 targets and configuration 5
+    And a peer reports a configuration that the host cannot read
+    When 21 s of its reports and those of 39 others pass
+    Then the host has asked at most 10 times
