Keep what a target wrote last over the listing of an upstream behind it

Cause: a listing that may be old never wins over another one. That was to keep an earlier run of a target from coming back.

Change: within one run of a target its count of reports decides. An entry that is kept gets the position up to which both sides know the kind, so that the next change of the store replaces it.

Test: "An upstream that is behind does not undo that a target leaves" failed before.

--- a/basilgate/documentmerge.py
+++ b/basilgate/documentmerge.py
@@ -89,8 +89,20 @@
     incoming: documents.StoredDocument,
     until: fleetmodel.Position,
 ) -> documents.StoredDocument:
-    """Return the newer entry of a target."""
-    return merge_by_era(cached, incoming, until, documents.target_order)
+    """Return the newer entry of a target.
+
+    An entry from a listing that may be old is the newer one if the same run of the
+    target wrote it later, as its count of reports shows.
+    """
+    newer = merge_by_era(cached, incoming, until, documents.target_order)
+    other = cached if newer is incoming else incoming
+    if other.position.era != store.UNCONFIRMED_ERA or newer.removed or other.removed:
+        return newer
+    newer_order = documents.target_order(newer.content, newer.removed)
+    other_order = documents.target_order(other.content, other.removed)
+    if other_order[:1] != newer_order[:1] or other_order <= newer_order:
+        return newer
+    return msgspec.structs.replace(other, position=max(newer.position, until))
 
 
 @MERGES.register(documents.OVERRIDES_KIND)
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -78,3 +78,11 @@
     And a peer reports a configuration that the host cannot read
     When 21 s of its reports and those of 39 others pass
     Then the host has asked at most 10 times
+
+  Scenario: An upstream that is behind does not undo that a target leaves
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the host has started with a listing that may be old, in which target 1 leaves
+    When the host catches up with the peer
+    Then target 1 leaves on the host
+    When the store lists target 1 as ready again
+    Then target 1 is ready on the host
