--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -43,3 +43,46 @@
     And the store falls silent for the first host
     And configuration 9 is written
     Then configuration 9 is in force on the other hosts
+
+  Scenario: A peer's listing that may be old does not count as received
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer has started again and knows a sixth target from a listing that may be old
+    When the host catches up with the peer
+    And another peer reports the sixth target
+    Then the host is still behind
+
+  Scenario: An upstream of the previous version that lost the store is left
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer runs the previous version
+    And a host that watches the store is heard
+    When the host follows the peer for 2 s
+    Then it has left the peer
+
+  Scenario: Connections to the store go silent while new ones work
+    Given a store with 2 targets
+    When a host follows the store for 2 s
+    And no waiting call to the store is answered any more
+    And a third target is added to the store
+    Then the host knows 3 targets while its other watches still wait
+
+  Scenario: An overdue report keeps its time when that of another peer is met
+    Given a host and a peer that both know 5 targets and configuration 5
+    And one peer reports configuration 6 and another the sixth target
+    When 1 s of both reports pass
+    And the host gets configuration 6
+    And 0.3 s of both reports pass
+    Then the host asks the peer that has the sixth target
+
+  Scenario: A configuration that cannot be read does not flood the peers
+    Given a host and a peer that both know 5 targets and configuration 5
+    And a peer reports a configuration that the host cannot read
+    When 21 s of its reports and those of 39 others pass
+    Then the host has asked at most 10 times
+
+  Scenario: An upstream that is behind does not undo that a target leaves
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the host has started with a listing that may be old, in which target 1 leaves
+    When the host catches up with the peer
+    Then target 1 leaves on the host
+    When the store lists target 1 as ready again
+    Then target 1 is ready on the host
