Let a reset end an attempt for good in the callers' stand-in

What the soak reported: "flow of a live target was reset" for flows that had never opened.

Cause: the stand-in took the acceptance that came after the reset as the opening of the flow. On the platform an attempt ends with a reset, and a flow is open only once its target has the end of the handshake.

Change: an acceptance after the end of an attempt has no effect. A reset after the acceptance is judged as before. Each flow also keeps when it opened and which address reset it.

Test: "An attempt that was reset does not open by a late acceptance"; it fails with the old condition.

--- a/features/fleet_soak.feature
+++ b/features/fleet_soak.feature
@@ -29,3 +29,9 @@
   Scenario: A seed that failed, with an outage and its return
     When the soak runs with seed 901 for 24 s
     Then no promise is broken and requests were answered
+
+  Scenario: An attempt that was reset does not open by a late acceptance
+    When a flow gets a reset and then an acceptance
+    Then it counts as refused and never opened
+    When a flow gets an acceptance and then a reset
+    Then it counts as opened and then reset
--- a/features/steps/fleet_soak_steps.py
+++ b/features/steps/fleet_soak_steps.py
@@ -6,6 +6,8 @@
 import behave
 
 from lab import fleetsoak
+from platformedge import packets
+from standins import fleetcaller
 
 
 @behave.when("the soak runs with seed {seed:d} for {seconds:d} s")
@@ -21,3 +23,37 @@
     assert context.evidence.violations == [], context.evidence.violations
     assert context.evidence.answered > 0
     assert context.evidence.faults
+
+
+def flow_after(*resets):
+    """Return a flow after packets without data, each a reset or an acceptance."""
+    callers = fleetcaller.Callers("127.0.0.1", 0, 1)
+    flow = fleetcaller.Flow(b"")
+    for resetting in resets:
+        callers.note(flow, resetting, 7, bytes(packets.HEADER.size))
+    return flow
+
+
+@behave.when("a flow gets a reset and then an acceptance")
+def reset_then_accept(context):
+    """Reset an attempt before it is accepted."""
+    context.flow = flow_after(True, False)
+
+
+@behave.then("it counts as refused and never opened")
+def check_refused(context):
+    """Check a flow that was reset first."""
+    assert (context.flow.ended, context.flow.opened_by) == ("reset", None)
+
+
+@behave.when("a flow gets an acceptance and then a reset")
+def accept_then_reset(context):
+    """Reset a flow that is open."""
+    context.flow = flow_after(False, True)
+
+
+@behave.then("it counts as opened and then reset")
+def check_reset(context):
+    """Check a flow that was accepted first."""
+    assert (context.flow.ended, context.flow.opened_by) == ("reset", 7)
+    assert context.flow.opened_at <= context.flow.ended_at
--- a/standins/fleetcaller.py
+++ b/standins/fleetcaller.py
@@ -18,15 +18,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Flow:
-    """One flow as its caller sees it; `host` gets its first packets."""
+    """One flow as its caller sees it; `host` gets its first packets.
+
+    `ended_by` is the address that sent the reset, if one did.
+    """
 
     key: bytes
     host: str = ""
     opened_by: int | None = None
     token: int = 0
     answers: set[bytes] = dataclasses.field(default_factory=set)
+    opened_at: float = 0.0
     ended: str = ""
     ended_at: float = 0.0
+    ended_by: str = ""
 
 
 class Callers:
@@ -55,7 +60,7 @@
     def receive(self) -> None:
         """Take packets of targets and resets of hosts."""
         while True:
-            datagram = self.socket.recv(2_048)
+            datagram, (sender, _) = self.socket.recvfrom(2_048)
             packet = packets.decode(datagram)
             if packet is None:
                 continue
@@ -64,19 +69,24 @@
             with self.changed:
                 flow = self.flows.get(key)
                 if flow is not None:
+                    if packet.resetting and not flow.ended:
+                        flow.ended_by = sender
                     self.note(flow, packet.resetting, packet.sequence, datagram)
                     self.changed.notify_all()
 
     def note(self, flow: Flow, resetting: bool, sequence: int, datagram: bytes) -> None:
-        """Take one packet of a flow; the first target that accepts it has it."""
+        """Take one packet of a flow; the first target that accepts it has it.
+
+        A reset before that ends the attempt, so that a later acceptance has no effect.
+        """
         data = datagram[packets.HEADER.size :]
         if resetting:
             if not flow.ended:
                 flow.ended, flow.ended_at = "reset", time.monotonic()
         elif data:
             flow.answers.add(data)
-        elif flow.opened_by is None:
-            flow.opened_by = sequence
+        elif flow.opened_by is None and not flow.ended:
+            flow.opened_by, flow.opened_at = sequence, time.monotonic()
             flow.token = int.from_bytes(datagram[16:20], "big")
 
     def host_for(self, key: bytes) -> str | None:
