Judge flows of the soak also when they are reset in a pause

What was missed: a flow that was reset between two of its requests ended the caller's loop before its end was judged.

Change: the end of a flow is judged when its caller stops using it, and the message names the address that sent the reset.

Evidence: found by reading.

--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -329,12 +329,14 @@
                 position += 1
                 calm = self.calm.is_set()
                 answer = callers.ask(flow, f"{name}-{position}".encode())
-                self.judge(flow, answer, calm)
+                self.judge(answer, calm)
                 time.sleep(rng.uniform(0.0, pause_s))
+            # Also resets in a pause between two requests.
+            self.judge_end(flow)
             callers.send(flow, 4 | 16, 1, b"")
 
-    def judge(self, flow: fleetcaller.Flow, answer: bytes | None, calm: bool) -> None:
-        """Check one request and how its flow ended."""
+    def judge(self, answer: bytes | None, calm: bool) -> None:
+        """Check one request."""
         evidence = self.evidence
         if answer is not None and answer.endswith(b" full"):
             # It was not run; in calm, it counts as lost.
@@ -347,10 +349,15 @@
         evidence.calm_answered += calm and answer is not None
         if answer is not None and not answer.endswith(b" desk"):
             evidence.violations.append(f"answer of another service: {answer!r}")
-        if flow.ended == "reset" and flow.opened_by is not None:
-            subject = f"target {flow.opened_by}"
-            if not self.is_excused(subject, flow.ended_at):
-                evidence.violations.append(f"flow of a live {subject} was reset")
+
+    def judge_end(self, flow: fleetcaller.Flow) -> None:
+        """Check that a flow that its caller is about to end was not reset before."""
+        if flow.ended != "reset" or flow.opened_by is None:
+            return
+        subject = f"target {flow.opened_by}"
+        if not self.is_excused(subject, flow.ended_at):
+            problem = f"flow of a live {subject} was reset by {flow.ended_by}"
+            self.evidence.violations.append(problem)
 
     def check_openings(self) -> None:
         """Check that no target got what was not for it, or openings after it left."""
