Play planned work beside faults of a few hosts in the soak

What was missing: the soak's faults of hosts and of the store excused all hosts, so that openings at leaving targets and late configurations were hardly ever judged. Targets were never started again under their ids, no other writer put entries into their list, and callers kept no flow for more than eight requests.

Some callers keep their flows. A fault excuses only the hosts that it touches. Judged are openings at leaving targets, by the host that sent them; the configuration of each host all the time; packets of a flow at another target; packets to odd entries; processes that end by themselves. Seeds without the profile play the same faults as before.

--- a/features/fleet_soak.feature
+++ b/features/fleet_soak.feature
@@ -1,6 +1,7 @@
 Feature: A short soak of the packet program
   Guards against promises that break only when faults overlap. Longer runs with other
-  seeds: python -m lab.fleetsoak --seed N --seconds S.
+  seeds: python -m lab.fleetsoak --seed N --seconds S, with --profile planned for
+  planned work.
 
   Scenario Outline: Faults of a seed break no promise
     When the soak runs with seed <seed> for 14 s
@@ -24,6 +25,15 @@
       | 202  |
       | 204  |
 
+  Scenario Outline: Planned work beside faults of a few hosts breaks no promise
+    When the soak plays planned work with seed <seed> for 14 s
+    Then no promise is broken and requests were answered
+
+    Examples:
+      | seed |
+      | 1323 |
+      | 1324 |
+
   # A lost target was back, cold, under its expired entry, and got flows beyond its limit.
   @known_red
   Scenario: A seed that failed, with an outage and its return
--- a/features/steps/fleet_soak_steps.py
+++ b/features/steps/fleet_soak_steps.py
@@ -10,11 +10,23 @@
 from standins import fleetcaller
 
 
+def evidence_of(seed, seconds, profile):
+    """Run real processes with faults, and return what was seen."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = fleetsoak.Soak(seed, pathlib.Path(folder), profile)
+        return soak.run(seconds)
+
+
 @behave.when("the soak runs with seed {seed:d} for {seconds:d} s")
 def run_soak(context, seed, seconds):
-    """Run real processes with faults."""
-    with tempfile.TemporaryDirectory() as folder:
-        context.evidence = fleetsoak.Soak(seed, pathlib.Path(folder)).run(seconds)
+    """Run the usual faults."""
+    context.evidence = evidence_of(seed, seconds, "usual")
+
+
+@behave.when("the soak plays planned work with seed {seed:d} for {seconds:d} s")
+def run_planned_soak(context, seed, seconds):
+    """Run planned work beside faults of a few hosts."""
+    context.evidence = evidence_of(seed, seconds, "planned")
 
 
 @behave.then("no promise is broken and requests were answered")
--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -4,9 +4,13 @@
 and a store on loopback, injects faults that the seed decides, and judges what callers
 and targets saw. It ends with status 1 if a promise was broken. Runs of different seeds
 have different addresses, so that some can run at a time; ``--logs DIR`` keeps the logs.
+``--profile planned`` plays the faults of `soakfaults` with some more hosts, ``--hosts``
+sets how many.
 """
 
+import collections
 import collections.abc
+import contextlib
 import dataclasses
 import functools
 import http.client
@@ -26,10 +30,12 @@
 
 from basilgate import forwarder
 from basilgate.policy import domainchoice
+from lab import soakfaults
 from standins import fleetcaller, fleetstore, fleettarget, linkproxy, skewedhost
 
 DOMAINS = ("d1", "d1", "d2", "d2")
-TARGETS = 5
+HOSTS = {"usual": 4, "planned": 8}  # By profile.
+TARGETS = {"usual": 5, "planned": 8}
 SERVICE_IP = "198.18.0.1"
 SERVICE_PORT = 443
 LOW_PORT = 444  # Its route has the lower priority.
@@ -37,6 +43,9 @@
 SLOTS = 2
 SERVICE_S = 0.03  # Time of a request.
 CALLERS = 12
+KEEPERS = 8  # Callers of the planned profile that keep their flows.
+KEPT_REQUESTS = 200
+KEPT_PAUSE_S = 1.5
 CROWD_ADDRESSES = 6  # Admission decides by address.
 CROWD = 30  # Callers of a burst.
 TRIES = 3  # Of a caller, without a pause.
@@ -53,6 +62,8 @@
 # follows within 4 s of its end.
 BOUND_S = 3.0
 EXCUSED_S = 4.0
+STRIKE_PAUSE_S = (0.0, 2.0)
+VERSION_PAUSE_S = 0.2  # Between two looks at the hosts' configurations.
 FAULT_PAUSE_S = (0.3, 1.5)  # Series of faults overlap.
 FAULT_SPAN_S = (0.5, 3.0)
 REPORT_DELAY_S = 1.2  # After the store's return, until targets report again.
@@ -84,6 +95,9 @@
     cold_peak: int = 0  # Most openings of a cold target in a second.
     refused: int = 0
     outage_flows: int = 0  # Flows that `check_outages` has judged.
+    versions_judged: int = 0
+    drained_late: int = 0  # Openings after the bound, through hosts out of touch.
+    resets_excused: int = 0  # Of flows of live targets, by hosts with faults.
     violations: list[str] = dataclasses.field(default_factory=list)
     disturbed: list[tuple[float, float, str]] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
@@ -95,6 +109,7 @@
     def __init__(self, soak: "Soak", ip: str, domain: str) -> None:
         self.soak = soak
         self.ip = ip
+        self.domain = domain
         self.path = soak.folder / f"{ip}.toml"
         self.faults = fleetstore.Faults()
         _, address = fleetstore.serve(soak.store, self.faults)
@@ -127,6 +142,13 @@
                 stderr=output,
             )
 
+    def note_own_end(self) -> None:
+        """Report a process that has ended by itself; to be called with the lock."""
+        if self.process.poll() is not None:
+            problem = f"{self.ip} ended by itself with {self.process.returncode}"
+            self.soak.evidence.violations.append(problem)
+            self.process = self.start()
+
     def is_ready(self) -> bool:
         """Ask as a router does."""
         client = http.client.HTTPConnection(self.ip, self.soak.port + 2, timeout=0.5)
@@ -156,18 +178,26 @@
 class Soak:
     """Processes, traffic, faults, and checks of one run."""
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    domain_of = staticmethod(domain_of)
+
+    def __init__(
+        self, seed: int, folder: pathlib.Path, profile: str = "usual", hosts: int = 0
+    ) -> None:
+        self.planned = profile == "planned"
         self.rng = random.Random(seed)
         self.returns_rng = random.Random(f"returns of {seed}")
         self.evacuations_rng = random.Random(f"evacuations of {seed}")
         self.bursts_rng = random.Random(f"bursts of {seed}")
         self.outages_rng = random.Random(f"outages of {seed}")
+        self.strikes_rng = random.Random(f"strikes of {seed}")
         self.price = {domainchoice.PRICE_VARIABLE: DOMAIN_PRICE_MS} if seed % 2 else {}
         self.folder = folder
         # A network of its own for each seed: hosts, targets, callers.
         net = f"127.{100 + seed % 100}"
-        self.host_ips = [f"{net}.31.{n + 1}" for n in range(len(DOMAINS))]
-        self.target_ips = [f"{net}.32.{n + 1}" for n in range(TARGETS)]
+        count = hosts or HOSTS[profile]
+        self.host_ips = [f"{net}.31.{n + 1}" for n in range(count)]
+        targets = TARGETS[profile]
+        self.target_ips = [f"{net}.32.{n + 1}" for n in range(targets)]
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
             probe.bind(("127.0.0.1", 0))
             self.port = probe.getsockname()[1] // 4 * 4
@@ -176,12 +206,23 @@
         self.ending = threading.Event()
         self.calm = threading.Event()
         self.version = 1
+        # When each version of the configuration was written.
+        self.versions: list[tuple[float, int]] = []
         self.ports: tuple[int, ...] = ()
         # What each target last reported, by its number: state and count of reports.
         # Missing if it has left.
         self.reported: dict[int, tuple[str, int]] = {}
         # When each flow was opened or given up, and its port.
         self.flows: list[tuple[float, int, fleetcaller.Flow]] = []
+        # When targets announced that they leave.
+        self.leavings: list[tuple[float, fleettarget.FleetTarget]] = []
+        # Spans in which a target is not there, with its number; its flows end.
+        self.gaps: list[tuple[float, float, int]] = []
+        # Targets that are being stopped or started again, by their number.
+        self.claimed: set[int] = set()
+        # Entries of other writers name this address, which must get nothing.
+        self.trap = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.trap.bind((f"{net}.34.1", 0))
         # Until when each target is cold after its start, by its number.
         self.cold_until: dict[int, float] = {}
         # Spans of time in which targets are cold, and domains have few targets.
@@ -193,11 +234,11 @@
         self.evacuations: list[tuple[float, float, str]] = []
         # Held while something is written to the store, or the store returns.
         self.writing = threading.RLock()
-        self.targets = [self.add_target(n + 1) for n in range(TARGETS)]
+        self.targets = [self.add_target(n + 1) for n in range(targets)]
         self.write_configuration()
         self.hosts = [
-            Host(self, ip, domain)
-            for ip, domain in zip(self.host_ips, DOMAINS, strict=True)
+            Host(self, ip, domain_of(position))
+            for position, ip in enumerate(self.host_ips)
         ]
         # The first has the usual callers, the others those of bursts.
         self.callers = [
@@ -207,7 +248,7 @@
 
     def add_target(self, number: int) -> fleettarget.FleetTarget:
         """Start a target and list it."""
-        ip = self.target_ips[number % TARGETS]
+        ip = self.target_ips[number % len(self.target_ips)]
         port = self.port + 1
         found = fleettarget.FleetTarget(number, "desk", ip, port, SLOTS, SERVICE_S)
         self.list_target(found, "ready")
@@ -243,6 +284,7 @@
             self.version += self.rng.randint(1, 3)
             self.ports = (*PRIORITIES, 8_000 + self.version % 50)
             self.write_version()
+            self.versions.append((time.monotonic(), self.version))
 
     def write_version(self) -> None:
         """Write the present version of the configuration."""
@@ -288,9 +330,14 @@
         """Tell whether a subject was disturbed shortly before a moment."""
         return any(
             found == subject and began <= moment <= ended + EXCUSED_S
-            for began, ended, found in self.evidence.disturbed
+            # A copy, since other threads change the list.
+            for began, ended, found in list(self.evidence.disturbed)
         )
 
+    def is_in_touch(self, ip: str, moment: float) -> bool:
+        """Tell whether no fault had a host shortly before a moment."""
+        return not self.is_excused("hosts", moment) and not self.is_excused(ip, moment)
+
     def can_serve(self, target: fleettarget.FleetTarget, moment: float) -> bool:
         """Tell whether neither a target nor its failure domain was disturbed."""
         number = target.number
@@ -309,9 +356,18 @@
             time.sleep(0.5)
 
     def call(
-        self, position: int, port: int, name: str, pause_s: float, ends_at: float
+        self,
+        position: int,
+        port: int,
+        name: str,
+        pause_s: float,
+        ends_at: float,
+        longest: int = 8,
     ) -> None:
-        """Call a port until a time, from the address at a position of `callers`."""
+        """Call a port until a time, from the address at a position of `callers`.
+
+        A flow is kept for `longest` requests at most.
+        """
         callers = self.callers[position]
         rng = random.Random(int(name.partition("-")[0]))
         position = 0
@@ -323,7 +379,7 @@
                     break
             else:
                 time.sleep(REFUSED_PAUSE_S)
-            for _ in range(rng.randint(1, 8)):
+            for _ in range(rng.randint(1, longest)):
                 if flow.ended or self.ending.is_set():
                     break
                 position += 1
@@ -355,7 +411,18 @@
         if flow.ended != "reset" or flow.opened_by is None:
             return
         subject = f"target {flow.opened_by}"
-        if not self.is_excused(subject, flow.ended_at):
+        # Whether its target went away meanwhile.
+        gone = any(
+            number == flow.opened_by
+            and flow.opened_at < up_at
+            and down_at <= flow.ended_at
+            for down_at, up_at, number in self.gaps
+        )
+        if gone or self.is_excused(subject, flow.ended_at):
+            return
+        if self.is_excused(f"unplanned {flow.ended_by}", flow.ended_at):
+            self.evidence.resets_excused += 1
+        else:
             problem = f"flow of a live {subject} was reset by {flow.ended_by}"
             self.evidence.violations.append(problem)
 
@@ -365,14 +432,35 @@
             if target.foreign:
                 problem = f"{target.foreign} foreign datagrams at {target.number}"
                 self.evidence.violations.append(problem)
-        for began, _, subject in self.evidence.disturbed:
-            if not subject.startswith("leaving "):
-                continue
-            target = self.targets[int(subject.split()[1]) - 1]
-            for moment, _ in target.openings:
-                late = moment > began + BOUND_S
-                if late and not self.is_excused("hosts", moment):
-                    self.evidence.violations.append(f"opening at {subject}, too late")
+        for began, target in self.leavings:
+            gaps = [at for at, _, number in self.gaps if number == target.number]
+            ended = min((at for at in gaps if at > began), default=float("inf"))
+            for moment, _, host in target.openings:
+                if not began + BOUND_S < moment < ended:
+                    continue
+                if not self.is_in_touch(host, moment):
+                    self.evidence.drained_late += 1
+                    continue
+                problem = f"opening at leaving {target.number}, too late, by {host}"
+                problem += f" after {moment - began:.2f} s"
+                self.evidence.violations.append(problem)
+        self.trap.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            number = int.from_bytes(self.trap.recv(2_048)[:8], "big")
+            problem = f"packet to i-{number:08x}, which another writer has written"
+            self.evidence.violations.append(problem)
+
+    def check_flows(self) -> None:
+        """Check that no packet of an open flow reached another target."""
+        known = {key: flow for one in self.callers for key, flow in one.flows.items()}
+        for target in self.targets:
+            for key, (moment, host) in target.heard.items():
+                flow = known.get(key)
+                if flow is None or flow.opened_by in (None, target.number):
+                    continue
+                if moment > flow.opened_at:
+                    problem = f"packet of a flow of {flow.opened_by} at {target.number}"
+                    self.evidence.violations.append(f"{problem}, by {host}")
 
     def check_evacuations(self) -> None:
         """Check that no flow was opened in a failure domain while it was evacuated."""
@@ -380,9 +468,9 @@
             for began, ended, domain in self.evacuations:
                 if domain != domain_of(target.number):
                     continue
-                for moment, _ in target.openings:
+                for moment, _, host in target.openings:
                     late = began + EVACUATION_BOUND_S < moment < ended
-                    if late and not self.is_excused("hosts", moment):
+                    if late and self.is_in_touch(host, moment):
                         problem = f"opening at {target.number}, {domain} is evacuated"
                         self.evidence.violations.append(problem)
 
@@ -409,7 +497,7 @@
 
     def check_outages(self) -> None:
         """Check that callers of a domain with few targets got those of the others."""
-        domains = dict(zip(self.host_ips, DOMAINS, strict=True))
+        domains = {host.ip: host.domain for host in self.hosts}
         for began, ended, domain in self.outages:
             others = [t for t in self.targets if domain_of(t.number) != domain]
             opened = [
@@ -436,6 +524,25 @@
                 problem = f"{host.ip} has configuration {found}, not {self.version}"
                 self.evidence.violations.append(problem)
 
+    def watch_hosts(self) -> None:
+        """Check all the time that hosts run, with a configuration that is not old."""
+        while not self.ending.is_set():
+            for host in self.hosts:
+                if not host.lock.acquire(blocking=False):
+                    continue
+                host.note_own_end()
+                host.lock.release()
+                asked_at = time.monotonic()
+                due = [v for at, v in self.versions if at < asked_at - BOUND_S]
+                found = host.config_version()
+                moments = (asked_at, time.monotonic())
+                if found and all(self.is_in_touch(host.ip, at) for at in moments):
+                    self.evidence.versions_judged += 1
+                    if due and found < due[-1]:
+                        problem = f"{host.ip} has configuration {found}, late"
+                        self.evidence.violations.append(f"{problem}: {due[-1]} is due")
+            time.sleep(VERSION_PAUSE_S)
+
     def run(self, seconds: float) -> Evidence:
         """Run traffic and faults, and return what was seen."""
         jobs: list[collections.abc.Callable[[], None]] = [self.route]
@@ -444,6 +551,11 @@
             jobs.append(
                 functools.partial(self.call, 0, port, str(n), 0.1, float("inf"))
             )
+        if self.planned:
+            jobs.append(self.watch_hosts)
+            for n in range(KEEPERS):
+                args = (0, SERVICE_PORT, str(CALLERS + n), KEPT_PAUSE_S, float("inf"))
+                jobs.append(functools.partial(self.call, *args, KEPT_REQUESTS))
         try:
             ends_at = time.monotonic() + START_LIMIT_S
             while not all(host.is_ready() for host in self.hosts):
@@ -465,10 +577,12 @@
                 thread.join(START_LIMIT_S)
         finally:
             for host in self.hosts:
+                host.note_own_end()
                 host.process.send_signal(signal.SIGCONT)
                 host.process.kill()
                 host.process.wait()
         self.check_openings()
+        self.check_flows()
         self.check_evacuations()
         self.check_cold_targets()
         self.check_refusals()
@@ -483,19 +597,28 @@
     def inject(self, seconds: float) -> None:
         """Start faults until the time is over, and end all of them."""
         ends_at = time.monotonic() + seconds
-        spans = [
-            threading.Thread(target=self.repeat, args=(ends_at, *repeated))
-            for repeated in (
+        repeated = [
+            (evacuate_domain, self.evacuations_rng, EVACUATION_PAUSE_S),
+            (burst_class, self.bursts_rng, BURST_PAUSE_S),
+        ]
+        if self.planned:
+            strikes = (soakfaults.strike_hosts, self.strikes_rng, STRIKE_PAUSE_S)
+            repeated.append(strikes)
+        else:
+            # They excuse all hosts, so that they would hide faults of planned work.
+            repeated += [
                 (restore_store, self.returns_rng, RETURN_PAUSE_S),
-                (evacuate_domain, self.evacuations_rng, EVACUATION_PAUSE_S),
-                (burst_class, self.bursts_rng, BURST_PAUSE_S),
                 (restart_domain, self.outages_rng, OUTAGE_PAUSE_S),
-            )
+            ]
+        spans = [
+            threading.Thread(target=self.repeat, args=(ends_at, *found))
+            for found in repeated
         ]
+        faults = soakfaults.FAULTS if self.planned else FAULTS
         for span in spans:
             span.start()
         while time.monotonic() < ends_at:
-            fault = self.rng.choice(FAULTS)
+            fault = self.rng.choice(faults)
             span_s = self.rng.uniform(*FAULT_SPAN_S)
             self.evidence.faults.append(fault.__name__)
             span = threading.Thread(target=fault, args=(self, span_s))
@@ -573,6 +696,7 @@
 
 
 @register
+@soakfaults.register
 def reload_host(soak: Soak, span_s: float) -> None:
     """Send SIGHUP to a forwarder."""
     del span_s
@@ -622,6 +746,7 @@
 
 
 @register
+@soakfaults.register
 def age_listings(soak: Soak, span_s: float) -> None:
     """Let listings that may be old stay as they are for a time."""
     old = soak.store.copy()
@@ -633,6 +758,7 @@
 
 
 @register
+@soakfaults.register
 def forget_history(soak: Soak, span_s: float) -> None:
     """Let the store drop its history."""
     del span_s
@@ -640,6 +766,7 @@
 
 
 @register
+@soakfaults.register
 def silence_target(soak: Soak, span_s: float) -> None:
     """Let packets to a target be lost for a time."""
     target = soak.rng.choice(soak.targets)
@@ -666,6 +793,7 @@
     soak.targets.append(soak.add_target(len(soak.targets) + 1))
     soak.list_target(target, "draining")
     # Its entry has the last word: it stays among those that leave.
+    soak.leavings.append((time.monotonic(), target))
     soak.disturb(f"leaving {target.number}", span_s)
     time.sleep(BOUND_S + span_s)
     soak.remove_target(target)
@@ -674,6 +802,7 @@
 
 
 @register
+@soakfaults.register
 def change_configuration(soak: Soak, span_s: float) -> None:
     """Write a new configuration."""
     del span_s
@@ -772,20 +901,29 @@
                 soak.list_target(target, "ready")
 
 
-def main(seed: int = 1, seconds: float = 30.0, logs: str = "") -> int:
+def main(
+    seed: int = 1,
+    seconds: float = 30.0,
+    logs: str = "",
+    profile: str = "usual",
+    hosts: int = 0,
+) -> int:
     """Run one soak, print what was seen, and return the exit status."""
     with tempfile.TemporaryDirectory() as folder:
-        evidence = Soak(seed, pathlib.Path(folder)).run(seconds)
+        evidence = Soak(seed, pathlib.Path(folder), profile, hosts).run(seconds)
         if logs:
             shutil.copytree(folder, logs, dirs_exist_ok=True)
     print(
         f"seed {seed}: {evidence.answered} answered, {evidence.lost} lost, "
         f"{evidence.turned_away} turned away, {evidence.cold_peak} at a cold target, "
-        f"{evidence.refused} flows refused, {evidence.outage_flows} judged in outages"
+        f"{evidence.refused} flows refused, {evidence.outage_flows} judged in outages, "
+        f"{evidence.versions_judged} versions judged, "
+        f"{evidence.drained_late} late openings excused, "
+        f"{evidence.resets_excused} resets excused"
     )
     print(f"faults: {', '.join(evidence.faults)}")
-    for violation in evidence.violations:
-        print(f"VIOLATION {violation}")
+    for violation, count in collections.Counter(evidence.violations).items():
+        print(f"VIOLATION {violation}" + f", {count} times" * (count > 1))
     return 1 if evidence.violations else 0
 
 
--- a/standins/fleettarget.py
+++ b/standins/fleettarget.py
@@ -49,8 +49,10 @@
         self.socket.settimeout(TICK_S)
         self.address: tuple[str, int] = self.socket.getsockname()
         self.flows: set[bytes] = set()
-        # Time and flow of each first opening packet.
-        self.openings: list[tuple[float, bytes]] = []
+        # Time, flow, and sending host of each first opening packet.
+        self.openings: list[tuple[float, bytes, str]] = []
+        # Time and sending host of the last other packet of each flow.
+        self.heard: dict[bytes, tuple[float, str]] = {}
         # Times of all opening packets, copies included.
         self.opening_times: list[float] = []
         self.service_s = service_s
@@ -98,17 +100,17 @@
             wait_s = min(TICK_S, max(MIN_WAIT_S, due_at - time.monotonic()))
             self.socket.settimeout(wait_s)
             try:
-                datagram = self.socket.recv(2_048)
+                datagram, (sender, _) = self.socket.recvfrom(2_048)
             except TimeoutError:
-                datagram = b""
+                datagram, sender = b"", ""
             self.finish()
             if datagram and not self.silent and not self.down:
-                self.take(datagram)
+                self.take(datagram, sender)
         self.stop_listening()
         self.socket.close()
 
-    def take(self, datagram: bytes) -> None:
-        """Handle one datagram."""
+    def take(self, datagram: bytes, sender: str) -> None:
+        """Handle one datagram of a host."""
         number = packets.TARGET_PREFIX.unpack_from(datagram)[0]
         packet = packets.decode(datagram[packets.TARGET_PREFIX.size :])
         if number != self.number or packet is None:
@@ -117,10 +119,12 @@
         if packet.opening:
             self.opening_times.append(time.monotonic())
             if packet.copy == 0 or packet.flow not in self.flows:
-                self.openings.append((time.monotonic(), packet.flow))
+                self.openings.append((time.monotonic(), packet.flow, sender))
             self.flows.add(packet.flow)
             self.reply(packet.flow, packet.token, packets.FLAG_OPEN | packets.FLAG_ACK)
-        elif packet.flow not in self.flows:
+            return
+        self.heard[packet.flow] = time.monotonic(), sender
+        if packet.flow not in self.flows:
             self.reply(packet.flow, packet.token, packets.FLAG_RESET)
         elif packet.data_bytes:
             self.accept(packet.flow, packet.token, packet.datagram)
