Name the flow that was reset in the soak's message

What was missing: the message named the target and the host that sent the reset, so that the flow had to be looked for in all logs.

--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -31,6 +31,7 @@
 from basilgate import forwarder
 from basilgate.policy import domainchoice
 from lab import soakfaults
+from platformedge import packets
 from standins import fleetcaller, fleetstore, fleettarget, linkproxy, skewedhost
 
 DOMAINS = ("d1", "d1", "d2", "d2")
@@ -424,6 +425,7 @@
             self.evidence.resets_excused += 1
         else:
             problem = f"flow of a live {subject} was reset by {flow.ended_by}"
+            problem += f": {packets.describe_flow(flow.key)}"
             self.evidence.violations.append(problem)
 
     def check_openings(self) -> None:
