--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -63,7 +63,7 @@
 # follows within 4 s of its end.
 BOUND_S = 3.0
 EXCUSED_S = 4.0
-STRIKE_PAUSE_S = (0.0, 2.0)
+HOST_FAULT_PAUSE_S = (0.0, 2.0)
 VERSION_PAUSE_S = 0.2  # Between two looks at the hosts' configurations.
 FAULT_PAUSE_S = (0.3, 1.5)  # Series of faults overlap.
 FAULT_SPAN_S = (0.5, 3.0)
@@ -190,7 +190,7 @@
         self.evacuations_rng = random.Random(f"evacuations of {seed}")
         self.bursts_rng = random.Random(f"bursts of {seed}")
         self.outages_rng = random.Random(f"outages of {seed}")
-        self.strikes_rng = random.Random(f"strikes of {seed}")
+        self.host_faults_rng = random.Random(f"strikes of {seed}")
         self.price = {domainchoice.PRICE_VARIABLE: DOMAIN_PRICE_MS} if seed % 2 else {}
         self.folder = folder
         # A network of its own for each seed: hosts, targets, callers.
@@ -614,8 +614,12 @@
             (burst_class, self.bursts_rng, BURST_PAUSE_S),
         ]
         if self.planned:
-            strikes = (soakfaults.strike_hosts, self.strikes_rng, STRIKE_PAUSE_S)
-            repeated.append(strikes)
+            host_faults = (
+                soakfaults.disturb_hosts,
+                self.host_faults_rng,
+                HOST_FAULT_PAUSE_S,
+            )
+            repeated.append(host_faults)
         else:
             # They excuse all hosts, so that they would hide faults of planned work.
             repeated += [
--- a/lab/soakfaults.py
+++ b/lab/soakfaults.py
@@ -1,7 +1,8 @@
 """Faults of the soak's planned profile: planned work beside faults of a few hosts.
 
 A fault notes only the hosts that it touches, so that all others are judged meanwhile.
-`FAULTS` are those that a seed chooses from, `ACTS` what happens to one host of them.
+`FAULTS` are those that a seed chooses from, `HOST_FAULTS` what happens to one host of
+them.
 """
 
 import collections.abc
@@ -19,10 +20,10 @@
     from lab import fleetsoak
 
 Fault = collections.abc.Callable[["fleetsoak.Soak", float], None]
-Act = collections.abc.Callable[["fleetsoak.Soak", "fleetsoak.Host", float], None]
+HostFault = collections.abc.Callable[["fleetsoak.Soak", "fleetsoak.Host", float], None]
 Job = collections.abc.Callable[[], None]
 FAULTS: list[Fault] = []
-ACTS: list[Act] = []
+HOST_FAULTS: list[HostFault] = []
 
 DRAIN_S = 3.0  # How long a target serves after it has announced that it leaves.
 COLD_START_S = 2.0
@@ -30,8 +31,8 @@
 SILENT_S = (0.3, 1.0)  # Hosts suspect a silent target within this time.
 SERIES_PAUSE_S = (0.0, 0.6)
 READY_LIMIT_S = 20.0
-FEW = 3  # Ready targets of each domain that planned work leaves alone.
-MOST_STRUCK = 3  # Hosts that a fault touches.
+SPARED_TARGETS = 3  # Ready targets of each domain that planned work leaves alone.
+MAX_FAULTY_HOSTS = 3  # Hosts that a fault touches.
 DEPTH = 100_000
 ODD_ID = 0xDD00_0000
 ODD_NAMES = ["i-", "no", "i-" + 17 * "1"]  # No ids.
@@ -43,13 +44,13 @@
     return fault
 
 
-def act(found: Act) -> Act:
+def host_fault(found: HostFault) -> HostFault:
     """Add something that happens to a host while its lock is held."""
-    ACTS.append(found)
+    HOST_FAULTS.append(found)
     return found
 
 
-@act
+@host_fault
 def stop(soak: "fleetsoak.Soak", host: "fleetsoak.Host", span_s: float) -> None:
     """Stop a host as planned and start it again; it must exit with 0."""
     if not host.is_ready():
@@ -67,7 +68,7 @@
     start(host)
 
 
-@act
+@host_fault
 def kill(soak: "fleetsoak.Soak", host: "fleetsoak.Host", span_s: float) -> None:
     """Kill a host and start it again after a time."""
     del soak
@@ -77,7 +78,7 @@
     start(host)
 
 
-@act
+@host_fault
 def freeze(soak: "fleetsoak.Soak", host: "fleetsoak.Host", span_s: float) -> None:
     """Suspend a host for a time."""
     del soak
@@ -86,8 +87,8 @@
     host.process.send_signal(signal.SIGCONT)
 
 
-@act
-def turn_away(soak: "fleetsoak.Soak", host: "fleetsoak.Host", span_s: float) -> None:
+@host_fault
+def refuse_host(soak: "fleetsoak.Soak", host: "fleetsoak.Host", span_s: float) -> None:
     """Let the store refuse a host, be slow or silent for it, or only its watches."""
     changes: list[dict[str, typing.Any]] = [
         {"status": 503},
@@ -101,7 +102,7 @@
     vars(host.faults).update({**vars(fleetstore.Faults()), "old": old})
 
 
-@act
+@host_fault
 def cut(soak: "fleetsoak.Soak", host: "fleetsoak.Host", span_s: float) -> None:
     """Cut a host off from the store, in one direction or both."""
     host.link.silent_up, host.link.silent_down = soak.rng.choice(
@@ -120,8 +121,8 @@
         time.sleep(0.05)
 
 
-def strike(
-    soak: "fleetsoak.Soak", host: "fleetsoak.Host", found: Act, span_s: float
+def apply_to_host(
+    soak: "fleetsoak.Soak", host: "fleetsoak.Host", found: HostFault, span_s: float
 ) -> None:
     """Let something happen to a host, unless a fault has it already."""
     if not host.lock.acquire(blocking=False):
@@ -160,7 +161,7 @@
             left = [other for other in ready if other not in found]
             domain = soak.domain_of(target.number)
             near = [other for other in left if soak.domain_of(other.number) == domain]
-            if len(found) < count and len(near) > FEW:
+            if len(found) < count and len(near) > SPARED_TARGETS:
                 found.append(target)
         soak.claimed.update(target.number for target in found)
     try:
@@ -276,21 +277,21 @@
     }
 
 
-def strike_hosts(soak: "fleetsoak.Soak", span_s: float) -> None:
+def disturb_hosts(soak: "fleetsoak.Soak", span_s: float) -> None:
     """Let something happen to hosts beside writes and planned work; not registered.
 
     Mostly to such hosts that call the store; at times several are stopped as planned.
     """
-    rng = soak.strikes_rng
+    rng = soak.host_faults_rng
     readers = [host for host in soak.hosts if host.link.opened]
     hosts = readers if readers and rng.random() < 0.7 else soak.hosts
-    acts = ACTS if rng.random() < 0.7 else [stop]
+    host_faults = HOST_FAULTS if rng.random() < 0.7 else [stop]
     jobs: list[Job] = [soak.write_configuration]
     jobs.append(functools.partial(rng.choice(PLANNED), soak, span_s))
-    for host in rng.sample(hosts, min(len(hosts), rng.randint(1, MOST_STRUCK))):
-        found = rng.choice(acts)
+    for host in rng.sample(hosts, min(len(hosts), rng.randint(1, MAX_FAULTY_HOSTS))):
+        found = rng.choice(host_faults)
         soak.evidence.faults.append(f"{found.__name__} {host.ip}")
-        jobs.append(functools.partial(strike, soak, host, found, span_s))
+        jobs.append(functools.partial(apply_to_host, soak, host, found, span_s))
     rng.shuffle(jobs)
     threads = [threading.Thread(target=job) for job in jobs]
     for thread in threads:
