Ask peers for an overdue change whenever one of them learns of it

Cause: each peer's report had a grace of its own, and a peer that had restarted took its report along. The change had been known since 10.0 s from hosts that were then killed; a peer that had it again at 11.2 s was asked at 12.1 s only.

Change: a report keeps its time until it is met, even if its peer has restarted, and once one is overdue all peers that have newer documents are asked.

Test: "A change that is overdue is fetched from a peer that learns of it late" failed before.

--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -165,57 +165,58 @@
         if now - self.oldest_newer_at < STALENESS_GRACE_S or now < self.next_search_at:
             return
         self.next_search_at = now + peertable.REPORT_INTERVAL_S
-        overdue = self.overdue_reports(now)
-        if not overdue:
+        self.forget_met_reports(now)
+        if now - self.oldest_newer_at < STALENESS_GRACE_S:
             self.request_count = 0
             return
         if not self.relay_client.is_catching_up():
-            self.ask_newer_peer(overdue, now)
+            self.ask_newer_peer(now)
         if self.watches_store() and now >= self.next_check_at:
             self.next_check_at = now + RECHECK_INTERVAL_S
             for watcher in self.watchers:
                 watcher.check_now()
 
     def record_newer(self, report: peertable.Report, now: float) -> None:
-        """Keep a report of newer documents, unless the peer's earlier one is unmet."""
-        if not self.is_newer(report):
-            self.newer_reports.pop(report.ip, None)
-            return
+        """Keep a report of newer documents, unless the peer's earlier one is unmet.
+
+        A peer that has restarted may no longer have what it reported, but others may.
+        """
         earlier = self.newer_reports.get(report.ip)
-        if earlier is None or not self.is_newer(earlier.report):
+        if earlier is not None and self.is_newer(earlier.report):
+            return
+        if self.is_newer(report):
             self.newer_reports[report.ip] = NewerReport(report, now)
             self.oldest_newer_at = min(self.oldest_newer_at, now)
 
-    def overdue_reports(self, now: float) -> list[peertable.Report]:
-        """Return the unmet reports of peers heard lately that are older than the grace.
-
-        Forgets the others, except those within the grace.
-        """
-        overdue = []
+    def forget_met_reports(self, now: float) -> None:
+        """Forget reports that this host has caught up with, or that nobody meets."""
+        peers_ahead = {report.ip for report in self.reports_of_peers_ahead(now)}
         for ip, newer in list(self.newer_reports.items()):
-            peer = self.peers.peers.get(ip)
-            if (
-                peer is None
-                or now - peer.heard_at > peertable.RECENT_AGE_S
-                or not self.is_newer(newer.report)
-            ):
+            is_old = now - newer.received_at > peertable.RECENT_AGE_S
+            if not self.is_newer(newer.report) or (is_old and ip not in peers_ahead):
                 del self.newer_reports[ip]
-            elif now - newer.received_at >= STALENESS_GRACE_S:
-                overdue.append(newer.report)
         self.oldest_newer_at = min(
             (newer.received_at for newer in self.newer_reports.values()),
             default=math.inf,
         )
-        return overdue
 
-    def ask_newer_peer(self, overdue: list[peertable.Report], now: float) -> None:
+    def reports_of_peers_ahead(self, now: float) -> list[peertable.Report]:
+        """Return the last reports of peers heard lately that have newer documents."""
+        return [
+            peer.report
+            for peer in list(self.peers.peers.values())
+            if peer.report is not None
+            and now - peer.heard_at <= peertable.RECENT_AGE_S
+            and self.is_newer(peer.report)
+        ]
+
+    def ask_newer_peer(self, now: float) -> None:
         """Fetch documents from the peer that was heard last, among those not asked."""
+        newer = self.reports_of_peers_ahead(now)
         self.next_request_at = {
             ip: at for ip, at in self.next_request_at.items() if at > now
         }
-        unasked = [
-            report for report in overdue if report.ip not in self.next_request_at
-        ]
+        unasked = [report for report in newer if report.ip not in self.next_request_at]
         if not unasked or now < self.request_pause_until:
             return
         report = max(unasked, key=lambda found: self.peers.peers[found.ip].heard_at)
@@ -231,7 +232,7 @@
             config_version=self.config_version,
             their_config_version=report.config_version,
             **self.describe_knowledge(report),
-            newer_neighbours=len(overdue),
+            newer_neighbours=len(newer),
             relayed=self.relay_client.is_fresh(),
             relay_source=self.relay_client.upstream or "none",
         )
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -86,3 +86,10 @@
     Then target 1 leaves on the host
     When the store lists target 1 as ready again
     Then target 1 is ready on the host
+
+  Scenario: A change that is overdue is fetched from a peer that learns of it late
+    Given a host and a peer that both know 5 targets and configuration 5
+    When a peer reports the sixth target and starts again without documents
+    And another peer reports the sixth target 1.2 s later
+    And 0.3 s of both reports pass
+    Then the host asks the peer that has the sixth target
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -424,3 +424,23 @@
 def check_ready(context):
     """Check that a later change replaces what was kept."""
     assert not context.host.view.entries["i-00000001"].target.leaving
+
+
+@behave.when("a peer reports the sixth target and starts again without documents")
+def report_and_restart(context):
+    """Take the report of a peer that has nothing afterwards."""
+    context.now = clock.steady_s()
+    reader = new_host(context)
+    reader.list_documents(6, 5, 11)
+    context.reports = [report(context, STOPPED_IP, reader)]
+    pass_both(context, 0.2)
+    context.reports = [report(context, STOPPED_IP, new_host(context))]
+
+
+@behave.when("another peer reports the sixth target {seconds:g} s later")
+def report_late(context, seconds):
+    """Hear of the same change from another peer after the grace."""
+    pass_both(context, seconds)
+    reader = new_host(context)
+    reader.list_documents(6, 5, 11)
+    context.reports.append(report(context, READER_IP, reader))
