Apply an entry that the cache has chosen also at a position that is known

Cause: an entry that is kept since the target wrote it later gets the position up to which both sides know the kind. For the target that had changed last, the view had another entry at that position and ignored the one that the cache had chosen. When the store's own entry came, the cache had the same content, and again nothing reached the view.

Change: the view ignores an entry at the same position only if it is the same entry.

Test: "A later report of a target takes effect at a position that is not new" failed before.

--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -203,6 +203,7 @@
             previous is not None
             and position == previous.position
             and previous.removed_at is None
+            and previous.target == target
         ):
             return False
         is_new_run = previous is None or run_of(previous.target) != run_of(target)
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -93,3 +93,9 @@
     And another peer reports the sixth target 1.2 s later
     And 0.3 s of both reports pass
     Then the host asks the peer that has the sixth target
+
+  Scenario: A later report of a target takes effect at a position that is not new
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer has started again with an old listing in which target 1 leaves
+    When the host catches up with the peer
+    Then target 1 leaves on the host
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -400,12 +400,20 @@
     assert set(entries) > set(host.view.entries)
 
 
-def apply_entry(context, position, complete, **changes):
+def apply_entry(context, position, complete, host=None, **changes):
     """Apply a listing with the first target alone."""
     content = fleetstore.encode(entry(1, **changes))
     stored = documents.StoredDocument("i-00000001", position, content)
     listing = store.Listing([stored], position, [])
-    context.host.cache.update(documents.TARGETS_KIND, listing, complete)
+    (host or context.host).cache.update(documents.TARGETS_KIND, listing, complete)
+
+
+@behave.given("the peer has started again with an old listing in which target 1 leaves")
+def restart_with_leaving(context):
+    """Replace the peer by one with a first listing."""
+    context.peer = new_host(context)
+    position = fleetmodel.Position(store.UNCONFIRMED_ERA, 14)
+    apply_entry(context, position, True, context.peer, state="draining", seq=7)
 
 
 @behave.then("target 1 leaves on the host")
