Log where changes come from, and by how old an answer a host reads the store

Cause: the logs could not tell whether a late host followed an upstream that was behind, or called the store late itself (hypotheses 1 to 3 of docs/incidents/late-configuration.md). Change: change_received names the source of each change of operators, reading_changed the age of the answer by which a host says that it watches the store; the gauge basilgate_store_answer_age_seconds has the same age. An answer that is read after a suspension counts as of the time at which it was due.

--- a/basilgate/counters.py
+++ b/basilgate/counters.py
@@ -39,6 +39,7 @@
     "invariant_violations_total": "Broken invariants, by invariant",
     "overrides_restored_total": "Overrides that the store had lost, by outcome of the "
     "write",
+    "store_answer_age_seconds": "Age of the store's last answer on the configuration",
     "store_era": "Number that rises each time the store returns from a copy",
     "config_version": "Version of the configuration in force",
     "evacuations": "Failure domains that are evacuated",
--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -21,6 +21,7 @@
     clock,
     counters,
     documentcache,
+    documentmerge,
     eventlog,
     fleetmodel,
     peertable,
@@ -531,6 +532,13 @@
         previous = self.cache.position(frame.kind)
         listing = read_frame(frame)
         applied = self.cache.update(frame.kind, listing, frame.complete)
+        if frame.documents and frame.kind in documentmerge.OPERATOR_KINDS:
+            self.log.write(
+                "change_received",
+                kind=frame.kind,
+                revision=listing.position,
+                source=self.upstream,
+            )
         if listing.position.era > previous.era:
             described = self.cache.describe_listing(frame.kind, listing, previous)
             self.log.write(
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -332,6 +332,8 @@
         self.counts.set_gauge("targets", removed_count, state="departed")
         self.counts.set_gauge("flows", len(self.flows.flows))
         self.counts.set_gauge("store_era", self.cache.era)
+        answer_age_s = clock.steady_s() - self.watchers[0].answered_at
+        self.counts.set_gauge("store_answer_age_seconds", answer_age_s)
         self.counts.set_gauge("log_lines_omitted_total", self.log.omitted_total)
         body = self.counts.exposition().encode()
         return 200, "text/plain; version=0.0.4", body
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -112,6 +112,8 @@
         # Whether this host is stopping, so that its downstreams choose another
         # upstream.
         self.stopping = False
+        # Whether the last report said that this host watches the store.
+        self.reported_reading = False
         # The first report of each peer that this host has not caught up with, by the
         # peer's address.
         self.newer_reports: dict[str, NewerReport] = {}
@@ -352,8 +354,21 @@
                 newest_target.era,
                 self.newest_evacuation(newest_target.era),
             )
+            self.note_reading(report.reads, now)
             self.peers.send_report(report)
 
+    def note_reading(self, reads: bool, now: float) -> None:
+        """Log when this host begins or ceases to say that it watches the store."""
+        if reads == self.reported_reading:
+            return
+        self.reported_reading = reads
+        self.log.write(
+            "reading_changed",
+            reads=reads,
+            answer_age_s=now - self.watchers[0].answered_at,
+            relay_source=self.relay_client.upstream or "none",
+        )
+
     def clear_failures(self, restored: list[str]) -> None:
         """Clear suspicions of targets in failure domains that are reachable again."""
         self.suspicions.clear_failures(
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -3,7 +3,15 @@
 import random
 import time
 
-from basilgate import clock, counters, documentcache, documentrelay, eventlog, fleetview
+from basilgate import (
+    clock,
+    counters,
+    documentcache,
+    documentmerge,
+    documentrelay,
+    eventlog,
+    fleetview,
+)
 from platformedge import documents, store
 
 WATCH_DURATION_S = 20.0  # Two thirds of the longest wait that the store allows.
@@ -89,6 +97,8 @@
         self.relay_is_fresh = False
         # Whether the store has answered a watch of the kind since it was last relayed.
         self.watching = False
+        # Steady time of which the store's last answer speaks, 0 without one.
+        self.answered_at = 0.0
         # Time, in seconds of the steady clock, before which no call is made, and
         # whether the hosts that have run longer go first then.
         self.next_call_at = 0.0
@@ -165,6 +175,7 @@
         position = self.cache.position(self.kind)
         was_listed = self.listed
         complete = not was_listed or self.history_gone or not self.is_current
+        started_at, duration_s = clock.steady_s(), 0.0
         if complete:
             # The first listing of targets may be stale: a watch from its revision, or
             # the upstream, supplies later changes, and nothing runs at a target that
@@ -204,6 +215,8 @@
                 return
             self.handle_failure(result)
             return
+        # An answer may be read long after it came, if the process was suspended.
+        self.answered_at = min(clock.steady_s(), started_at + duration_s)
         self.check_pending = self.call_aborted = False
         if self.failures:
             self.log.write("store_regained", kind=self.kind, failures=self.failures)
@@ -221,6 +234,13 @@
         if complete:
             described = self.cache.describe_listing(self.kind, result, position)
             self.log.write("kind_listed", **described, applied=applied)
+        elif result.documents and self.kind in documentmerge.OPERATOR_KINDS:
+            self.log.write(
+                "change_received",
+                kind=self.kind,
+                revision=result.position,
+                source="store",
+            )
         if not was_listed:
             self.yield_after(UPSTREAM_WAIT_S)
         elif result.documents and not complete:
