--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -99,3 +99,33 @@
     And the peer has started again with an old listing in which target 1 leaves
     When the host catches up with the peer
     Then target 1 leaves on the host
+
+  @known_red
+  Scenario: Peers that stand still do not delay the next one
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target
+    And two hosts that accept connections and send nothing
+    When they and the peer report the sixth target for at most 3 s
+    Then the host knows 6 targets
+
+  @known_red
+  Scenario: An upstream that trickles does not keep its downstream from a peer
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target
+    And an upstream that sends a byte of a message now and then
+    When the upstream and the peer report the sixth target for at most 3 s
+    Then the host knows 6 targets
+    And the host has left the upstream that trickles within 3 s
+
+  @known_red
+  Scenario Outline: One lost answer to a watch is noticed while the other watches go on
+    Given a store with 2 targets
+    When a host follows the store for 2 s
+    And the answer to its watch of <kind> is lost
+    And <change>
+    Then the host has <effect> within 3 s
+
+    Examples:
+      | kind                | change                             | effect      |
+      | servers             | a third target is added to the store | 3 targets   |
+      | basilgate-overrides | an override of a target is added   | 1 overrides |
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -27,6 +27,8 @@
 from standins import fleetstore
 
 PEER_IP, READER_IP, STOPPED_IP = "127.0.12.2", "127.0.12.3", "127.0.12.4"
+SILENT_IPS, TRICKLING_IP = ("127.0.12.5", "127.0.12.6"), "127.0.12.7"
+TRICKLE_PAUSE_S = 0.3  # Shorter than the time after which an upstream is silent.
 KINDS = (documents.CONFIG_KIND, documents.TARGETS_KIND, documents.OVERRIDES_KIND)
 STEP_S = 0.1
 
@@ -116,6 +118,19 @@
     context.peers.socket.close()
 
 
+@behave.fixture
+def raw_listener(context, ip, serve):
+    """Serve connections to an address in a way of their own."""
+    log = eventlog.EventLog(context.null, "h3")
+    address = (ip, context.peers.port)
+    listener = tcplistener.Listener(address, "raw", serve, log)
+    threading.Thread(target=listener.run, daemon=True).start()
+    context.listening = True
+    yield
+    context.listening = False
+    listener.socket.close()
+
+
 def listen(context, port, log):
     """Return a listener that serves the documents which the peer has at the time."""
     return tcplistener.Listener(
@@ -228,7 +243,7 @@
 @behave.then("the host knows {count:d} targets")
 def check_targets(context, count):
     """Check the targets."""
-    assert len(context.host.view.entries) == count, context.host.view.entries
+    assert len(context.host.view.entries) == count, list(context.host.view.entries)
 
 
 @behave.then("the host has configuration {version:d}")
@@ -452,3 +467,99 @@
     reader = new_host(context)
     reader.list_documents(6, 5, 11)
     context.reports.append(report(context, READER_IP, reader))
+
+
+@behave.given("two hosts that accept connections and send nothing")
+def start_silent_hosts(context):
+    """Accept connections as the kernel does for a suspended process."""
+
+    def serve(connection):
+        while context.listening:
+            time.sleep(STEP_S)
+        connection.close()
+
+    for ip in SILENT_IPS:
+        behave.use_fixture(raw_listener, context, ip, serve)
+
+
+@behave.given("an upstream that sends a byte of a message now and then")
+def start_trickling_upstream(context):
+    """Send a message that does not end, faster than the downstream times out."""
+    context.trickled_until = 0.0
+
+    def serve(connection):
+        message = documentrelay.LENGTH_PREFIX.pack(1_000) + bytes(1_000)
+        for byte in message:
+            connection.sendall(bytes([byte]))
+            context.trickled_until = time.monotonic()
+            time.sleep(TRICKLE_PAUSE_S)
+
+    behave.use_fixture(raw_listener, context, TRICKLING_IP, serve)
+    report(context, TRICKLING_IP, context.host, reads=True)
+
+
+def report_until_known(context, reporters, limit_s):
+    """Exchange reports in real time until the host knows the sixth target.
+
+    `reporters` are addresses with whether each watches the store, the one that is heard
+    last at the end.
+    """
+    threading.Thread(target=context.client.run, daemon=True).start()
+    ends_at = time.monotonic() + limit_s
+    while len(context.host.view.entries) < 6 and time.monotonic() < ends_at:
+        for found in [
+            report(context, ip, context.peer, reads) for ip, reads in reporters
+        ]:
+            context.exchange.check_staleness(found, clock.steady_s())
+        time.sleep(peertable.REPORT_INTERVAL_S)
+
+
+@behave.when("they and the peer report the sixth target for at most {limit_s:g} s")
+def report_silent_hosts(context, limit_s):
+    """Let the hosts that send nothing be heard last, so that they are asked first."""
+    reporters = [(ip, False) for ip in (PEER_IP, *SILENT_IPS)]
+    report_until_known(context, reporters, limit_s)
+
+
+@behave.when(
+    "the upstream and the peer report the sixth target for at most {limit_s:g} s"
+)
+def report_trickling(context, limit_s):
+    """Let the upstream be the one that the host would follow."""
+    report_until_known(context, [(PEER_IP, False), (TRICKLING_IP, True)], limit_s)
+
+
+@behave.then("the host has left the upstream that trickles within {limit_s:g} s")
+def check_left_trickling(context, limit_s):
+    """Wait until the upstream can send no more."""
+    ends_at = time.monotonic() + limit_s
+    while time.monotonic() - context.trickled_until < 2 * TRICKLE_PAUSE_S:
+        assert time.monotonic() < ends_at, (
+            "the host still takes what the upstream sends"
+        )
+        time.sleep(0.02)
+
+
+@behave.when("the answer to its watch of {kind} is lost")
+def lose_one(context, kind):
+    """Lose the answer to the call in progress for one kind; later ones are answered."""
+    context.store.faults.lost_path = f"/{kind}?watch="
+    context.store.faults.lost_before = time.monotonic()
+
+
+@behave.when("an override of a target is added")
+def add_override(context):
+    """Pull a target."""
+    pulled = {"kind": "pull", "service": "desk", "target": "i-00000001"}
+    context.store.put("basilgate-overrides", "i-00000001", pulled)
+
+
+@behave.then("the host has {count:d} {what} within {limit_s:g} s")
+def check_in_time(context, count, what, limit_s):
+    """Wait for targets or overrides."""
+    view = context.host.view
+    found = {"targets": view.entries, "overrides": view.overrides}[what]
+    ends_at = time.monotonic() + limit_s
+    while len(found) != count:
+        assert time.monotonic() < ends_at, f"{len(found)} {what} after {limit_s} s"
+        time.sleep(0.02)
--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -129,6 +129,8 @@
     lost_before : float
         Calls that began before this time, of the monotonic clock, are never answered,
         and nothing follows on their connections.
+    lost_path : str
+        Only calls whose path contains this are lost so.
     lose_answers : int
         This many writes take effect and their connection is closed unanswered.
     delay_s : float
@@ -151,6 +153,7 @@
         self.silent = False
         self.unanswered = ""
         self.lost_before = 0.0
+        self.lost_path = ""
         self.lose_answers = 0
         self.delay_s = 0.0
         self.old: FleetStore | None = None
@@ -311,7 +314,7 @@
             self.close_connection = True
             return
         self.wait_while_silent()
-        if began_at < faults.lost_before:
+        if began_at < faults.lost_before and faults.lost_path in self.path:
             self.rfile.read()  # Until the client closes the connection.
             self.close_connection = True
             return
