Do not follow an upstream that sends nothing before it is heard again

What callers saw: flows handled under a configuration that is older than allowed. Cause: the kernel of a host accepts connections while its process is suspended, so a read that timed out did not keep the host from being chosen again 0.2 s later; its last report counts for 1.2 s. Change: an upstream that was given up after silence is chosen once it was heard after that.

--- a/basilgate/documentrelay.py
+++ b/basilgate/documentrelay.py
@@ -387,6 +387,10 @@
         self.upstream = ""  # IP address; empty if not connected.
         # Time until which a host is not chosen as upstream, by its address.
         self.avoided_until: dict[str, float] = {}
+        # When an upstream was given up since it sent nothing, by its address. A process
+        # that is suspended still accepts connections, so it is not chosen before it is
+        # heard again.
+        self.silent_since: dict[str, float] = {}
         # Address of a peer with newer documents, and the time until which to use it as
         # upstream; 0 once all its documents were received or it could not send them.
         self.newer_peer_ip = ""
@@ -439,6 +443,11 @@
             return self.upstream
         has_all_kinds = all(self.cache.changes().values())
         avoided_ips = [ip for ip, until in self.avoided_until.items() if now < until]
+        avoided_ips += [
+            ip
+            for ip, since in self.silent_since.items()
+            if not self.peers.was_heard_after(ip, since)
+        ]
         return self.peers.choose_upstream(
             now, self.store_fails(), has_all_kinds, avoided_ips, self.cache.era
         )
@@ -470,9 +479,15 @@
             self.log.write("relay_connected", relay_source=ip)
             self.upstream = ip
             self.batch_ended = self.heartbeat_received = False
+            self.silent_since.pop(ip, None)
             while not self.may_leave(ip):
                 self.apply_frame(FRAME_DECODER.decode(receive_message(connection)))
             self.log.write("relay_lost", relay_source=ip, reason="other_source")
+        except TimeoutError as error:
+            self.silent_since[ip] = clock.steady_s()
+            self.log.write("relay_lost", relay_source=ip, reason=str(error))
+            if ip == self.newer_peer_ip:
+                self.newer_peer_until = 0.0
         except (OSError, *documents.DECODE_ERRORS) as error:
             self.log.write("relay_lost", relay_source=ip, reason=str(error))
             if ip == self.newer_peer_ip:
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -288,6 +288,11 @@
         for peer in self.peers.values():
             peer.heard_at = max(peer.heard_at, now)
 
+    def was_heard_after(self, ip: str, moment: float) -> bool:
+        """Return whether a peer has sent a report after a steady time."""
+        peer = self.peers.get(ip)
+        return peer is not None and peer.heard_at > moment
+
     def is_domain_silent(self, domain: str) -> bool:
         """Return whether all peers of a failure domain are silent."""
         return not self.reachable_domains.get(domain, True)
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -100,6 +100,15 @@
     When the host catches up with the peer
     Then target 1 leaves on the host
 
+  Scenario: An upstream that stands still is not chosen again before it is heard
+    Given a host and a peer that both know 5 targets and configuration 5
+    And two hosts that accept connections and send nothing
+    And the first of them is heard as a host that watches the store
+    When the host follows it until it gives up
+    Then the host chooses no upstream
+    When the first of them is heard as a host that watches the store
+    Then the host chooses it as upstream
+
   @known_red
   Scenario: Peers that stand still do not delay the next one
     Given a host and a peer that both know 5 targets and configuration 5
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -482,6 +482,32 @@
         behave.use_fixture(raw_listener, context, ip, serve)
 
 
+@behave.given("the first of them is heard as a host that watches the store")
+@behave.when("the first of them is heard as a host that watches the store")
+def hear_silent_host(context):
+    """Take a report of a host that sends nothing on connections."""
+    report(context, SILENT_IPS[0], context.peer, reads=True)
+
+
+@behave.when("the host follows it until it gives up")
+def follow_silent_host(context):
+    """Follow the host that was chosen."""
+    check_silent_host_chosen(context)
+    context.client.follow_upstream(SILENT_IPS[0])
+
+
+@behave.then("the host chooses no upstream")
+def check_no_upstream(context):
+    """Check the choice."""
+    assert context.client.choose_upstream() is None
+
+
+@behave.then("the host chooses it as upstream")
+def check_silent_host_chosen(context):
+    """Check the choice."""
+    assert context.client.choose_upstream() == SILENT_IPS[0]
+
+
 @behave.given("an upstream that sends a byte of a message now and then")
 def start_trickling_upstream(context):
     """Send a message that does not end, faster than the downstream times out."""
