Move the relay of documents into a subpackage

Cause: basilgate/ holds eighty modules on one floor, and the relay is about to get more. Change: documentrelay is split, without a change of its code, into relay.relaymessages (the messages), relay.relayserver, and relay.relayclient. Tests name the new modules.

--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -15,7 +15,6 @@
     connectionprobes,
     counters,
     documentcache,
-    documentrelay,
     errorguard,
     eventlog,
     fleetmodel,
@@ -34,6 +33,7 @@
     tcplistener,
 )
 from basilgate.policy import coldtargets, domainchoice
+from basilgate.relay import relayclient, relayserver
 from platformedge import documents, store
 
 SETTINGS_VARIABLE = "BASILGATE_CONFIG"
@@ -167,7 +167,7 @@
         if settings.has_evacuations:
             appliers[documents.EVACUATIONS_KIND] = view_updater.apply_evacuations
         self.cache = documentcache.DocumentCache(appliers, self.lock)
-        self.relay_client = documentrelay.RelayClient(
+        self.relay_client = relayclient.RelayClient(
             self.peers, self.cache, self.log, self.counts
         )
         self.relay_client.store_fails = self.store_fails
@@ -439,7 +439,7 @@
             If an address cannot be bound, other than that of the metrics page.
         """
         settings = self.settings
-        relay_server = documentrelay.RelayServer(
+        relay_server = relayserver.RelayServer(
             self.cache, self.reports.watches_store, self.log, self.counts
         )
         readiness = statuspages.PageServer(READY_PATH, self.readiness_page)
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -9,7 +9,6 @@
 from basilgate import (
     clock,
     documentcache,
-    documentrelay,
     eventlog,
     fleetmodel,
     fleetview,
@@ -20,6 +19,7 @@
     suspicion,
     targetchoice,
 )
+from basilgate.relay import relayclient
 from platformedge import documents
 
 # Time for which a peer may report newer documents before this host counts as stale. The
@@ -73,7 +73,7 @@
         Supplies the revisions of this host's documents.
     watchers : list of storewatch.KindWatcher
         Check the store when a peer has newer documents.
-    relay_client : documentrelay.RelayClient
+    relay_client : relayclient.RelayClient
         Fetches newer documents from a peer.
     lock : threading.Lock
         Guards view, flows, and suspicions, and changes of the table of peers.
@@ -91,7 +91,7 @@
         forwarder: forwarding.Forwarder,
         cache: documentcache.DocumentCache,
         watchers: list[storewatch.KindWatcher],
-        relay_client: documentrelay.RelayClient,
+        relay_client: relayclient.RelayClient,
         lock: threading.Lock,
         log: eventlog.EventLog,
     ) -> None:
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -8,10 +8,10 @@
     counters,
     documentcache,
     documentmerge,
-    documentrelay,
     eventlog,
     fleetview,
 )
+from basilgate.relay import relayclient
 from platformedge import documents, store
 
 WATCH_DURATION_S = 20.0  # Two thirds of the longest wait that the store allows.
@@ -62,7 +62,7 @@
         Connection for this watcher's calls; not shared, since each watch blocks it.
     cache : documentcache.DocumentCache
         Receives the documents and supplies the revision to watch from.
-    relay_client : documentrelay.RelayClient
+    relay_client : relayclient.RelayClient
         Connection to the upstream, used instead of the store while it is fresh.
     log : eventlog.EventLog
         Receives lost and regained access to the store, and unreadable documents.
@@ -77,7 +77,7 @@
         kind: str,
         connection: store.Connection,
         cache: documentcache.DocumentCache,
-        relay_client: documentrelay.RelayClient,
+        relay_client: relayclient.RelayClient,
         log: eventlog.EventLog,
         counts: counters.Counters,
         primary: "KindWatcher | None" = None,
--- a/features/steps/evacuations_steps.py
+++ b/features/steps/evacuations_steps.py
@@ -11,7 +11,6 @@
 
 from basilgate import (
     documentcache,
-    documentrelay,
     fleetcommands,
     fleetmodel,
     fleettrace,
@@ -19,6 +18,7 @@
     peertable,
     storewatch,
 )
+from basilgate.relay import relayclient, relaymessages, relayserver
 from platformedge import documents, store
 from standins import fleetstore
 
@@ -247,15 +247,15 @@
     """Let a downstream take this host's documents; returns the client."""
     upstream, log = context.host.cache, context.fleet.log
     counts = context.fleet.counts
-    context.server = documentrelay.RelayServer(upstream, lambda: True, log, counts)
-    context.client = documentrelay.RelayClient(
+    context.server = relayserver.RelayServer(upstream, lambda: True, log, counts)
+    context.client = relayclient.RelayClient(
         peertable.PeerTable.__new__(peertable.PeerTable), downstream.cache, log, counts
     )
     digests = {KIND: downstream.cache.digest(KIND)}
-    subscription = documentrelay.Subscription("h2", digests)
+    subscription = relaymessages.Subscription("h2", digests)
     context.sent, confirmation = context.server.changes_known_to(subscription)
     if context.sent:
-        receive(context, documentrelay.encode_message(confirmation))
+        receive(context, relaymessages.encode_message(confirmation))
     take_changes(context)
 
 
@@ -263,7 +263,7 @@
     """Let the downstream take the bytes of a message."""
     context.last_message = message
     body = zlib.decompress(message[4:])
-    context.client.apply_frame(documentrelay.FRAME_DECODER.decode(body))
+    context.client.apply_frame(relaymessages.FRAME_DECODER.decode(body))
 
 
 @behave.when("a host without documents takes those of this host")
@@ -331,10 +331,10 @@
     (server, client, sent), second = context.links
     ((_, message),) = server.messages_after(sent)
     body = zlib.decompress(message[4:])
-    frame = documentrelay.FRAME_DECODER.decode(body)
+    frame = relaymessages.FRAME_DECODER.decode(body)
     held, frame.held = frame.held, {}
     context.messages = 1
-    for part in (frame, documentrelay.DocumentFrame("", 0, False, [], True, held=held)):
+    for part in (frame, relaymessages.DocumentFrame("", 0, False, [], True, held=held)):
         client.apply_frame(part)
         context.server, context.client, context.sent = second
         context.messages += len(context.server.messages_after(dict(context.sent)))
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -13,7 +13,6 @@
     clock,
     counters,
     documentcache,
-    documentrelay,
     eventlog,
     fleetmodel,
     fleetview,
@@ -23,6 +22,7 @@
     suspicion,
     tcplistener,
 )
+from basilgate.relay import relayclient, relaymessages, relayserver
 from platformedge import documents, store
 from standins import fleetstore
 
@@ -52,7 +52,7 @@
             )
         )
         self.cache = documentcache.DocumentCache(appliers, threading.Lock())
-        self.server = documentrelay.RelayServer(self.cache, bool, log, counts)
+        self.server = relayserver.RelayServer(self.cache, bool, log, counts)
 
     def list_documents(self, targets, version, revision, era=0):
         """Apply listings with some targets and a version of the configuration.
@@ -97,7 +97,7 @@
     )
     context.peers = peertable.PeerTable(settings, log, counts)
     context.peer, context.host = (CatchUpHost(log, counts) for _ in range(2))
-    context.client = documentrelay.RelayClient(
+    context.client = relayclient.RelayClient(
         context.peers, context.host.cache, log, counts
     )
     threading.Thread(target=listen(context, port, log).run, daemon=True).start()
@@ -272,7 +272,7 @@
     context.store.faults.unanswered = ""
 
 
-class PreviousRelayServer(documentrelay.RelayServer):
+class PreviousRelayServer(relayserver.RelayServer):
     """Sends heartbeats as the previous version does, without the end of a batch."""
 
     def end_of_batch(self, sent_counts):
@@ -514,7 +514,7 @@
     context.trickled_until = 0.0
 
     def serve(connection):
-        message = documentrelay.LENGTH_PREFIX.pack(1_000) + bytes(1_000)
+        message = relaymessages.LENGTH_PREFIX.pack(1_000) + bytes(1_000)
         for byte in message:
             connection.sendall(bytes([byte]))
             context.trickled_until = time.monotonic()
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -19,13 +19,13 @@
 from basilgate import (
     counters,
     documentcache,
-    documentrelay,
     eventlog,
     fleetview,
     forwarder,
     storewatch,
     tcplistener,
 )
+from basilgate.relay import relayclient, relaymessages, relayserver
 from platformedge import documents, store
 from standins import fleetstore
 
@@ -205,7 +205,7 @@
             documents.OVERRIDES_KIND: feed.apply_overrides,
         }
         self.cache = documentcache.DocumentCache(appliers, threading.Lock())
-        relay_client = documentrelay.RelayClient(
+        relay_client = relayclient.RelayClient(
             Older(rank), self.cache, self.log, self.counts
         )
         self.connections = []
@@ -699,7 +699,7 @@
     """Let the host in this process relay_to."""
     host = context.host
     address = ("127.0.0.1", free_port())
-    context.relay_source = documentrelay.RelayServer(
+    context.relay_source = relayserver.RelayServer(
         host.cache, lambda: True, host.log, host.counts
     )
     listener = tcplistener.Listener(
@@ -715,7 +715,7 @@
     if "relay_source" not in context:
         behave.use_fixture(relay_source, context)
     opened = socket.create_connection(context.relay_source_address, timeout=LIMIT_S)
-    documentrelay.send_message(opened, documentrelay.Subscription("h9", digests))
+    relaymessages.send_message(opened, relaymessages.Subscription("h9", digests))
     return opened
 
 
@@ -723,11 +723,11 @@
     """Return frames, and the bytes that they took."""
     frames, size = [], 0
     for _ in range(count):
-        (length,) = documentrelay.LENGTH_PREFIX.unpack(
-            documentrelay.receive_exactly(opened, documentrelay.LENGTH_PREFIX.size)
+        (length,) = relaymessages.LENGTH_PREFIX.unpack(
+            relaymessages.receive_exactly(opened, relaymessages.LENGTH_PREFIX.size)
         )
-        body = documentrelay.receive_exactly(opened, length)
-        frames.append(documentrelay.FRAME_DECODER.decode(zlib.decompress(body)))
+        body = relaymessages.receive_exactly(opened, length)
+        frames.append(relaymessages.FRAME_DECODER.decode(zlib.decompress(body)))
         size += length
     return frames, size
 
@@ -809,11 +809,11 @@
 def send_damaged(context, what):
     """Send something that is no message."""
     follow_source(context, {}).close()
-    bomb = zlib.compress(bytes(documentrelay.MAX_MESSAGE_BYTES + 1))
+    bomb = zlib.compress(bytes(relaymessages.MAX_MESSAGE_BYTES + 1))
     sent = {
-        "random bytes": documentrelay.LENGTH_PREFIX.pack(16) + bytes(range(16)),
+        "random bytes": relaymessages.LENGTH_PREFIX.pack(16) + bytes(range(16)),
         "a length of 4 GB": b"\xff\xff\xff\xff",
-        "an inflated message": documentrelay.LENGTH_PREFIX.pack(len(bomb)) + bomb,
+        "an inflated message": relaymessages.LENGTH_PREFIX.pack(len(bomb)) + bomb,
     }[what]
     with socket.create_connection(
         context.relay_source_address, timeout=LIMIT_S
--- a/features/steps/fleet_neighbours_steps.py
+++ b/features/steps/fleet_neighbours_steps.py
@@ -14,12 +14,12 @@
     clock,
     counters,
     documentcache,
-    documentrelay,
     eventlog,
     fleetmodel,
     peertable,
     storewatch,
 )
+from basilgate.relay import relayclient, relaymessages
 
 NEAR, FAR, TOKEN = "d1", "d2", 77
 
@@ -54,7 +54,7 @@
     context.peers.started_ms = 50
     context.now = 100.0
     cache = documentcache.DocumentCache({"config": lambda *_: None}, threading.Lock())
-    context.relay_client = documentrelay.RelayClient(
+    context.relay_client = relayclient.RelayClient(
         context.peers, cache, log, context.peers.counts
     )
     real, clock.steady_s = clock.steady_s, lambda: context.now
@@ -180,7 +180,7 @@
     """Follow a source that follows the store."""
     context.relay_client.upstream = "127.0.0.20"
     context.relay_client.apply_frame(
-        documentrelay.DocumentFrame("", 0, False, [], True)
+        relaymessages.DocumentFrame("", 0, False, [], True)
     )
 
 
@@ -194,7 +194,7 @@
 def lose_store(context):
     """Take a sign of life of a source that lost the store."""
     context.relay_client.apply_frame(
-        documentrelay.DocumentFrame("", 0, False, [], False)
+        relaymessages.DocumentFrame("", 0, False, [], False)
     )
 
 
@@ -225,13 +225,13 @@
     assert client.choose_upstream() == "127.0.0.99" and client.is_catching_up()
     client.upstream = "127.0.0.99"
     # Confirms the kinds that need not be sent; documents of the others follow.
-    client.apply_frame(documentrelay.DocumentFrame("", 0, False, [], True))
+    client.apply_frame(relaymessages.DocumentFrame("", 0, False, [], True))
     assert client.is_catching_up()
-    client.apply_frame(documentrelay.DocumentFrame("config", 7, True, [], True))
+    client.apply_frame(relaymessages.DocumentFrame("config", 7, True, [], True))
     assert client.is_catching_up()
     position = fleetmodel.Position(0, 7)
     client.apply_frame(
-        documentrelay.DocumentFrame("", 0, False, [], True, sent={"config": position})
+        relaymessages.DocumentFrame("", 0, False, [], True, sent={"config": position})
     )
     assert not client.is_catching_up() and client.received == {"config": position}
     client.upstream, client.fresh_until = "", 0.0
@@ -242,7 +242,7 @@
 def check_give_up(context):
     """Check that a host that tells nothing is not waited for."""
     client = context.relay_client
-    context.now += documentrelay.CATCH_UP_TIMEOUT_S
+    context.now += relayclient.CATCH_UP_TIMEOUT_S
     context.peers.record_report(report("127.0.0.20", NEAR, 20), context.now)
     assert not client.received and client.choose_upstream() == "127.0.0.20"
 
@@ -278,7 +278,7 @@
         cache = documentcache.DocumentCache(
             {"config": lambda *_: None}, threading.Lock()
         )
-        self.client = documentrelay.RelayClient(self.peers, cache, log, counts)
+        self.client = relayclient.RelayClient(self.peers, cache, log, counts)
         self.watcher = storewatch.KindWatcher(
             "config", None, cache, self.client, log, counts
         )
--- a/features/steps/fleet_trust_steps.py
+++ b/features/steps/fleet_trust_steps.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+import zlib
 
 import behave
 from fleet_feed_steps import (
@@ -19,13 +20,13 @@
 
 from basilgate import (
     counters,
-    documentrelay,
     errorguard,
     eventlog,
     fleetmodel,
     forwarder,
     peertable,
 )
+from basilgate.relay import relaymessages
 from platformedge import store
 
 CALL_TIMEOUT_S = 5.0
@@ -142,12 +143,12 @@
             sender.bind((HOSTS[3], 0))
             sender.sendto(malformed_report(what), (host.ip, host.port))
     elif message.startswith("a relay request"):
-        request = documentrelay.Subscription("h9", {})
-        body = bytearray(documentrelay.ENCODER.encode(request))
+        request = relaymessages.Subscription("h9", {})
+        body = bytearray(relaymessages.ENCODER.encode(request))
         body[0] += 1
-        body = documentrelay.zlib.compress(bytes(body) + DEEP_ARRAYS)
+        body = zlib.compress(bytes(body) + DEEP_ARRAYS)
         with socket.create_connection((host.ip, host.port)) as sender:
-            sender.sendall(documentrelay.LENGTH_PREFIX.pack(len(body)) + body)
+            sender.sendall(relaymessages.LENGTH_PREFIX.pack(len(body)) + body)
             sender.settimeout(CALL_TIMEOUT_S)
             assert sender.recv(1) == b""
     else:
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -23,7 +23,6 @@
 from basilgate import (
     counters,
     documentmerge,
-    documentrelay,
     eventlog,
     fleetmodel,
     forwarder,
@@ -31,6 +30,7 @@
     peertable,
     platformapi,
 )
+from basilgate.relay import relayclient, relaymessages
 from platformedge import bounds, documents, jsonparts, store
 from standins import fleetstore
 
@@ -240,9 +240,9 @@
 def check_passed_on(document):
     """Check that a document reaches a downstream as it is."""
     listing = store.Listing([document], document.position, [])
-    frame = documentrelay.make_frame(documents.TARGETS_KIND, listing, True, True)
-    body = documentrelay.ENCODER.encode(frame)
-    received = documentrelay.read_frame(documentrelay.FRAME_DECODER.decode(body))
+    frame = relaymessages.make_frame(documents.TARGETS_KIND, listing, True, True)
+    body = relaymessages.ENCODER.encode(frame)
+    received = relaymessages.read_frame(relaymessages.FRAME_DECODER.decode(body))
     (found,) = received.documents
     assert (found.name, found.position) == (document.name, document.position)
     assert found.removed == document.removed
@@ -582,10 +582,10 @@
 @behave.when("a relayed message has {value} as {field}")
 def change_message(context, value, field):
     """Change one field of a message."""
-    sound, fields, context.decoder = FRAME, FRAME_FIELDS, documentrelay.FRAME_DECODER
+    sound, fields, context.decoder = FRAME, FRAME_FIELDS, relaymessages.FRAME_DECODER
     if field in SUBSCRIPTION_FIELDS:
         sound, fields = SUBSCRIPTION, SUBSCRIPTION_FIELDS
-        context.decoder = documentrelay.SUBSCRIPTION_DECODER
+        context.decoder = relaymessages.SUBSCRIPTION_DECODER
     context.decoder.decode(msgspec.msgpack.encode(sound))
     context.message = changed_at(sound, fields[field], value_of(value))
 
@@ -637,9 +637,9 @@
     @hypothesis.given(changed_values(FRAME))
     def survive(value):
         host = fleet_catch_up_steps.CatchUpHost(log, counts)
-        client = documentrelay.RelayClient(None, host.cache, log, counts)
+        client = relayclient.RelayClient(None, host.cache, log, counts)
         try:
-            frame = documentrelay.FRAME_DECODER.decode(packed(value))
+            frame = relaymessages.FRAME_DECODER.decode(packed(value))
         except documents.DECODE_ERRORS:
             return
         check_numbers(frame)
@@ -647,9 +647,9 @@
         for kind in host.cache.kinds:
             listing, complete = host.cache.changes_after(kind, 0) or (None, False)
             if listing is not None:
-                passed_on = documentrelay.make_frame(kind, listing, complete, True)
-                body = documentrelay.ENCODER.encode(passed_on)
-                assert documentrelay.FRAME_DECODER.decode(body) == passed_on
+                passed_on = relaymessages.make_frame(kind, listing, complete, True)
+                body = relaymessages.ENCODER.encode(passed_on)
+                assert relaymessages.FRAME_DECODER.decode(body) == passed_on
 
     survive()
 
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -13,12 +13,12 @@
 from basilgate import (
     counters,
     documentcache,
-    documentrelay,
     eventlog,
     fleetmodel,
     forwarder,
     outcomes,
 )
+from basilgate.relay import relayclient, relaymessages, relayserver
 from platformedge import documents, store
 
 FIRST = "i-00000001"
@@ -455,10 +455,8 @@
     context.source = documentcache.DocumentCache(appliers, threading.Lock())
     cache = documentcache.DocumentCache(appliers, threading.Lock())
     counts = counters.Counters()
-    context.server = documentrelay.RelayServer(
-        context.source, lambda: True, log, counts
-    )
-    context.client = documentrelay.RelayClient(None, cache, log, counts)
+    context.server = relayserver.RelayServer(context.source, lambda: True, log, counts)
+    context.client = relayclient.RelayClient(None, cache, log, counts)
     context.client.upstream = "127.0.0.9"
 
 
@@ -481,8 +479,8 @@
 def pass_on(context, sent_counts):
     """Let the source send what the other host lacks."""
     ((_, message),) = context.server.messages_after(sent_counts)
-    body = zlib.decompress(message[documentrelay.LENGTH_PREFIX.size :])
-    context.client.apply_frame(documentrelay.FRAME_DECODER.decode(body))
+    body = zlib.decompress(message[relaymessages.LENGTH_PREFIX.size :])
+    context.client.apply_frame(relaymessages.FRAME_DECODER.decode(body))
 
 
 @behave.when("another host takes the source's documents")
