Limit the time that a message of another host may take

What callers would see: flows handled under a configuration that is older than allowed. Change: a message has to be received within 2 s of its first byte, as long as its sender may take to send it.

--- a/basilgate/relay/relaymessages.py
+++ b/basilgate/relay/relaymessages.py
@@ -1,17 +1,21 @@
 """Messages by which hosts send each other the store's documents, over TCP."""
 
+import math
 import socket
 import struct
 import zlib
 
 import msgspec
 
-from basilgate import documentcache, fleetmodel
+from basilgate import clock, documentcache, fleetmodel
 from platformedge import bounds, documents, store
 
 LENGTH_PREFIX = struct.Struct(">I")  # Compressed length of a message, in bytes.
 # Decompressed size; far above a configuration as large as the store allows.
 MAX_MESSAGE_BYTES = 16 << 20
+# Time from the first to the last byte of a message, as long as its sender may take
+# (relayserver.SEND_TIMEOUT_S).
+MESSAGE_TIMEOUT_S = 2.0
 COMPRESSION_LEVEL = 1  # Shrinks 260 routes tenfold in about a millisecond.
 
 
@@ -67,40 +71,60 @@
     connection.sendall(encode_message(message))
 
 
-def receive_exactly(connection: socket.socket, count: int) -> bytes:
+def receive_exactly(
+    connection: socket.socket, count: int, deadline: float = math.inf
+) -> bytes:
     """Return exactly the next `count` bytes of a connection.
 
+    `deadline` is a steady time in seconds; the connection's own time limit applies to
+    each read besides.
+
     Raises
     ------
     OSError
-        If the connection ends or nothing comes in time.
+        If the connection ends or the bytes do not come in time.
     """
+    silence_limit_s = connection.gettimeout()
     chunks = []
-    while count:
-        chunk = connection.recv(min(count, 65_536))
-        if not chunk:
-            raise ConnectionResetError("closed by the other host")
-        chunks.append(chunk)
-        count -= len(chunk)
+    try:
+        while count:
+            left_s = deadline - clock.steady_s()
+            if left_s <= 0:
+                raise TimeoutError("not received in time")
+            if silence_limit_s is None or left_s < silence_limit_s:
+                connection.settimeout(None if left_s == math.inf else left_s)
+            chunk = connection.recv(min(count, 65_536))
+            if not chunk:
+                raise ConnectionResetError("closed by the other host")
+            chunks.append(chunk)
+            count -= len(chunk)
+    finally:
+        connection.settimeout(silence_limit_s)
     return b"".join(chunks)
 
 
-def receive_message(connection: socket.socket) -> bytes:
+def receive_message(connection: socket.socket, deadline: float = math.inf) -> bytes:
     """Return the next message, decompressed but not decoded.
 
+    It has to be received by `deadline`, a steady time in seconds, and within
+    `MESSAGE_TIMEOUT_S` of its first byte.
+
     Raises
     ------
     OSError
-        If the connection ends, nothing comes in time, or the message is too long or
+        If the connection ends, the message does not come in time, or it is too long or
         damaged.
     """
-    (length,) = LENGTH_PREFIX.unpack(receive_exactly(connection, LENGTH_PREFIX.size))
+    prefix = receive_exactly(connection, 1, deadline)
+    deadline = min(deadline, clock.steady_s() + MESSAGE_TIMEOUT_S)
+    prefix += receive_exactly(connection, LENGTH_PREFIX.size - 1, deadline)
+    (length,) = LENGTH_PREFIX.unpack(prefix)
     if length > MAX_MESSAGE_BYTES:
         raise ConnectionAbortedError(f"message of {length} bytes")
     unpacker = zlib.decompressobj()
     try:
         body = unpacker.decompress(
-            receive_exactly(connection, length), MAX_MESSAGE_BYTES
+            receive_exactly(connection, length, deadline), MAX_MESSAGE_BYTES
         )
     except zlib.error as error:
         raise ConnectionAbortedError(f"damaged message: {error}") from None
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -117,7 +117,6 @@
     When they and the peer report the sixth target for at most 3 s
     Then the host knows 6 targets
 
-  @known_red
   Scenario: An upstream that trickles does not keep its downstream from a peer
     Given a host and a peer that both know 5 targets and configuration 5
     And the peer alone knows a sixth target
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -1,5 +1,6 @@
 """Steps for hosts that fetch newer documents from a peer."""
 
+import contextlib
 import threading
 import time
 import types
@@ -120,14 +121,16 @@
 
 @behave.fixture
 def raw_listener(context, ip, serve):
-    """Serve connections to an address in a way of their own."""
+    """Serve connections to an address; `serve` also gets an event that ends it."""
     log = eventlog.EventLog(context.null, "h3")
     address = (ip, context.peers.port)
-    listener = tcplistener.Listener(address, "raw", serve, log)
+    ended = threading.Event()
+    listener = tcplistener.Listener(
+        address, "raw", lambda connection: serve(connection, ended), log
+    )
     threading.Thread(target=listener.run, daemon=True).start()
-    context.listening = True
     yield
-    context.listening = False
+    ended.set()
     listener.socket.close()
 
 
@@ -473,10 +476,9 @@
 def start_silent_hosts(context):
     """Accept connections as the kernel does for a suspended process."""
 
-    def serve(connection):
-        while context.listening:
-            time.sleep(STEP_S)
-        connection.close()
+    def serve(connection, ended):
+        del connection
+        ended.wait()
 
     for ip in SILENT_IPS:
         behave.use_fixture(raw_listener, context, ip, serve)
@@ -511,14 +513,16 @@
 @behave.given("an upstream that sends a byte of a message now and then")
 def start_trickling_upstream(context):
     """Send a message that does not end, faster than the downstream times out."""
-    context.trickled_until = 0.0
+    trickled = context.trickled = {"until": 0.0}
 
-    def serve(connection):
+    def serve(connection, ended):
         message = relaymessages.LENGTH_PREFIX.pack(1_000) + bytes(1_000)
-        for byte in message:
-            connection.sendall(bytes([byte]))
-            context.trickled_until = time.monotonic()
-            time.sleep(TRICKLE_PAUSE_S)
+        with contextlib.suppress(OSError):
+            for byte in message:
+                connection.sendall(bytes([byte]))
+                trickled["until"] = time.monotonic()
+                if ended.wait(TRICKLE_PAUSE_S):
+                    return
 
     behave.use_fixture(raw_listener, context, TRICKLING_IP, serve)
     report(context, TRICKLING_IP, context.host, reads=True)
@@ -559,7 +563,7 @@
 def check_left_trickling(context, limit_s):
     """Wait until the upstream can send no more."""
     ends_at = time.monotonic() + limit_s
-    while time.monotonic() - context.trickled_until < 2 * TRICKLE_PAUSE_S:
+    while time.monotonic() - context.trickled["until"] < 2 * TRICKLE_PAUSE_S:
         assert time.monotonic() < ends_at, (
             "the host still takes what the upstream sends"
         )
