Fetch newer documents from peers beside the upstream, several at a time

What callers saw: flows handled under a configuration that is older than allowed. Cause: one thread followed the upstream, looked for another one, and fetched from peers, on one connection. A host that had to catch up waited for the next heartbeat of its upstream, left it, waited 0.2 s, and returned afterwards; this is the pair of relay_lost reason=other_source in the users' record. A peer that stood still held up all of this for 0.7 s, two of them twice that. And a host without a source waited 0.9 s before it asked a peer, as if the store or an upstream were about to send what the peer had. Change: relay.documentfetch asks up to three peers at a time, each in a thread of its own and for 1 s at most; the upstream stays. A host that neither the store nor an upstream supplies asks at once. relay.transfer holds what both kinds of connection share. The scenarios of leaving the upstream for a peer are replaced: one checks that the upstream stays, the others the same ends as before (all received, nothing received in 1 s).

--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -33,7 +33,7 @@
     tcplistener,
 )
 from basilgate.policy import coldtargets, domainchoice
-from basilgate.relay import relayclient, relayserver
+from basilgate.relay import documentfetch, relayclient, relayserver
 from platformedge import documents, store
 
 SETTINGS_VARIABLE = "BASILGATE_CONFIG"
@@ -195,10 +195,12 @@
             self.cache,
             self.watchers,
             self.relay_client,
+            documentfetch.DocumentFetcher(
+                self.peers, self.relay_client.receiver, self.log
+            ),
             self.lock,
             self.log,
         )
-
         self.restorer = overriderestore.OverrideRestorer(
             store.Connection(settings.store, reused=False),
             self.cache,
--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -19,7 +19,7 @@
     suspicion,
     targetchoice,
 )
-from basilgate.relay import relayclient
+from basilgate.relay import documentfetch, relayclient
 from platformedge import documents
 
 # Time for which a peer may report newer documents before this host counts as stale. The
@@ -74,6 +74,8 @@
     watchers : list of storewatch.KindWatcher
         Check the store when a peer has newer documents.
     relay_client : relayclient.RelayClient
+        Tells whether an upstream supplies this host.
+    fetcher : documentfetch.DocumentFetcher
         Fetches newer documents from a peer.
     lock : threading.Lock
         Guards view, flows, and suspicions, and changes of the table of peers.
@@ -92,6 +94,7 @@
         cache: documentcache.DocumentCache,
         watchers: list[storewatch.KindWatcher],
         relay_client: relayclient.RelayClient,
+        fetcher: documentfetch.DocumentFetcher,
         lock: threading.Lock,
         log: eventlog.EventLog,
     ) -> None:
@@ -104,6 +107,7 @@
         self.cache = cache
         self.watchers = watchers
         self.relay_client = relay_client
+        self.fetcher = fetcher
         self.lock = lock
         self.log = log
         # Whether this host gives up readiness, so that hosts of other failure domains
@@ -164,20 +168,31 @@
         reported, the next one is asked at once.
         """
         self.record_newer(report, now)
-        if now - self.oldest_newer_at < STALENESS_GRACE_S or now < self.next_search_at:
+        grace_s = self.staleness_grace_s()
+        if now - self.oldest_newer_at < grace_s or now < self.next_search_at:
             return
         self.next_search_at = now + peertable.REPORT_INTERVAL_S
         self.forget_met_reports(now)
-        if now - self.oldest_newer_at < STALENESS_GRACE_S:
+        if now - self.oldest_newer_at < grace_s:
             self.request_count = 0
             return
-        if not self.relay_client.is_catching_up():
+        if not self.fetcher.is_busy():
             self.ask_newer_peer(now)
         if self.watches_store() and now >= self.next_check_at:
             self.next_check_at = now + RECHECK_INTERVAL_S
             for watcher in self.watchers:
                 watcher.check_now()
 
+    def staleness_grace_s(self) -> float:
+        """Return for how long peers may report newer documents, in seconds.
+
+        None is given to a host that had all documents and that nobody supplies now:
+        neither the store nor an upstream will send it what the peers have.
+        """
+        is_supplied = self.relay_client.is_fresh() or self.watches_store()
+        had_all_kinds = all(self.cache.changes().values())
+        return STALENESS_GRACE_S if is_supplied or not had_all_kinds else 0.0
+
     def record_newer(self, report: peertable.Report, now: float) -> None:
         """Keep a report of newer documents, unless the peer's earlier one is unmet.
 
@@ -238,7 +253,7 @@
             relayed=self.relay_client.is_fresh(),
             relay_source=self.relay_client.upstream or "none",
         )
-        self.relay_client.catch_up(report.ip)
+        self.fetcher.start(report.ip)
 
     @property
     def config_version(self) -> int:
@@ -259,7 +274,7 @@
             if position is not None and position > max(
                 self.cache.newest(kind),
                 self.cache.position(kind),
-                self.relay_client.received.get(kind, documentcache.UNLISTED),
+                self.fetcher.receiver.received.get(kind, documentcache.UNLISTED),
             ):
                 return True
         return False
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -109,7 +109,28 @@
     When the first of them is heard as a host that watches the store
     Then the host chooses it as upstream
 
-  @known_red
+  Scenario: A host that catches up with a peer keeps its upstream
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target
+    And the host follows a host that watches the store
+    When the host catches up with the peer
+    Then the host knows 6 targets
+    And what the peer has sent counts as received
+    And the host still follows the host that watches the store
+
+  Scenario: A host that nobody supplies does not wait until a report is overdue
+    Given a host and a peer that both know 5 targets and configuration 5
+    And the peer alone knows a sixth target
+    When the peer reports the sixth target
+    And 0.2 s of reports pass at the host
+    Then the host knows 6 targets
+
+  Scenario: A peer that stands still is given up after a while
+    Given a host and a peer that both know 5 targets and configuration 5
+    And two hosts that accept connections and send nothing
+    When the host catches up with the first of them
+    Then it has given up after 1 s, and nothing counts as received
+
   Scenario: Peers that stand still do not delay the next one
     Given a host and a peer that both know 5 targets and configuration 5
     And the peer alone knows a sixth target
--- a/features/fleet_neighbours.feature
+++ b/features/fleet_neighbours.feature
@@ -69,16 +69,3 @@
     When near hosts have started at 10, 20, this one at 50, and a far one at 1
     And the near 10 takes no connection
     Then it goes to the near 20
-
-  Scenario: A host that is behind catches up with the one that knows more
-    Given a host with neighbours
-    When near hosts have started at 20, this one at 50, and a far one at 1
-    And this host takes documents from the near 20
-    And the far host is found to know more
-    Then it goes to the far host until it has caught up
-
-  Scenario: A host that is ahead and tells nothing is not waited for
-    Given a host with neighbours
-    When near hosts have started at 20, this one at 50, and a far one at 1
-    And the far host is found to know more
-    Then it gives up the far host after a while
--- a/features/steps/evacuations_steps.py
+++ b/features/steps/evacuations_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import types
 import zlib
 
 import behave
@@ -382,25 +383,25 @@
 
 
 class AskedPeers:
-    """Stands for a RelayClient: notes from which peers documents are taken."""
+    """Stands for a RelayClient and its fetcher: notes which peers are asked."""
 
     upstream = ""
 
     def __init__(self):
         self.asked = []
-        self.received = {}
+        self.receiver = types.SimpleNamespace(received={})
 
-    def catch_up(self, ip):
+    def start(self, ip):
         """Note a wish."""
         self.asked.append(ip)
 
-    def is_catching_up(self):
+    def is_busy(self):
         """Return False: each peer ends the connection at once."""
         return False
 
     def is_fresh(self):
         """Return whether an upstream watches the store."""
-        return False
+        return True
 
 
 @behave.given("a host that exchanges reports")
@@ -425,6 +426,7 @@
         cache,
         [],
         context.relay_client,
+        context.relay_client,
         threading.Lock(),
         rig.log,
     )
@@ -512,7 +514,7 @@
     report = next(r for r in context.reports if r.ip == context.caught_up)
     for kind in context.exchange.reported_kinds:
         position = peerreports.reported_position(report, kind)
-        context.relay_client.received[kind] = position
+        context.relay_client.receiver.received[kind] = position
 
 
 @behave.then("documents are taken from the other one alone")
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -328,6 +328,7 @@
             cache,
             [],
             None,
+            None,
             threading.Lock(),
             rig.log,
         )
