Report the newest change of an override to peers

What operators would see: an override that is accepted and not in force on some hosts. Change: reports name it as their last field, which older versions ignore; a peer that knows more overrides is asked as one that knows more targets. Result: the row 'override' of 'A peer that knows more is asked, whichever kind it is' cannot run before, since reports have no such field, and passes after.

--- a/basilgate/peerreports.py
+++ b/basilgate/peerreports.py
@@ -37,6 +37,13 @@
 # shorter than the 3 s limit for applying a change.
 PAUSE_LIMIT_S = 1.0
 
+# Names in the log of the newest change of each kind that reports name.
+REPORTED_KINDS = {
+    documents.TARGETS_KIND: "newest_target",
+    documents.EVACUATIONS_KIND: "newest_evacuation",
+    documents.OVERRIDES_KIND: "newest_override",
+}
+
 
 class NewerReport(msgspec.Struct):
     """Report of newer documents that this host does not have yet.
@@ -126,11 +133,7 @@
         # Number of peers that were asked since no report was overdue.
         self.request_count = 0
         # Kinds whose newest change each report names besides the configuration's.
-        self.reported_kinds = [
-            kind
-            for kind in (documents.TARGETS_KIND, documents.EVACUATIONS_KIND)
-            if kind in cache.kinds
-        ]
+        self.reported_kinds = [kind for kind in REPORTED_KINDS if kind in cache.kinds]
         # Times from which a peer, by its address, any peer, and the store may be asked
         # again, and from which to look for overdue reports.
         self.next_request_at: dict[str, float] = {}
@@ -283,21 +286,18 @@
         self, report: peertable.Report
     ) -> dict[str, fleetmodel.Position | None]:
         """Return the newest positions here and at a peer, as the log names them."""
-        names = {
-            documents.TARGETS_KIND: "newest_target",
-            documents.EVACUATIONS_KIND: "newest_evacuation",
-        }
         fields: dict[str, fleetmodel.Position | None] = {}
         for kind in self.reported_kinds:
-            fields[names[kind]] = self.cache.newest(kind)
-            fields[f"their_{names[kind]}"] = reported_position(report, kind)
+            name = REPORTED_KINDS[kind]
+            fields[name] = self.cache.newest(kind)
+            fields[f"their_{name}"] = reported_position(report, kind)
         return fields
 
-    def newest_evacuation(self, era: int) -> int:
-        """Return the revision of the latest change of an evacuation in an era, or 0."""
-        if documents.EVACUATIONS_KIND not in self.cache.kinds:
+    def newest_revision(self, kind: str, era: int) -> int:
+        """Return the revision of the latest change of a kind in an era, 0 if none."""
+        if kind not in self.cache.kinds:
             return 0
-        newest = self.cache.newest(documents.EVACUATIONS_KIND)
+        newest = self.cache.newest(kind)
         return newest.revision if newest.era == era else 0
 
     def apply_peer_failures(self, report: peertable.Report, now: float) -> None:
@@ -367,7 +367,8 @@
                 suspects,
                 unreachable,
                 newest_target.era,
-                self.newest_evacuation(newest_target.era),
+                self.newest_revision(documents.EVACUATIONS_KIND, newest_target.era),
+                self.newest_revision(documents.OVERRIDES_KIND, newest_target.era),
             )
             self.note_reading(report.reads, now)
             self.peers.send_report(report)
@@ -432,4 +433,6 @@
     """Return where a peer's latest change of a kind was, None if it knows of none."""
     if kind == documents.EVACUATIONS_KIND:
         return report.newest_evacuation_position
+    if kind == documents.OVERRIDES_KIND:
+        return report.newest_override_position
     return report.newest_position
--- a/basilgate/peertable.py
+++ b/basilgate/peertable.py
@@ -63,7 +63,8 @@
     `suspects` are the tokens of suspected targets, `lost` of unreachable ones.
     `neighbours` are IP addresses of some of the host's peers. `era` is the store's era
     of the host's targets, 0 if the host or the store knows of none. `newest_evacuation`
-    is the revision of the latest change of an evacuation, 0 if none is known in `era`.
+    is the revision of the latest change of an evacuation, 0 if none is known in `era`;
+    `newest_override` that of an override.
     """
 
     host: bounds.Name
@@ -79,6 +80,7 @@
     neighbours: list[bounds.AddressText]
     era: bounds.ConfirmedEra = 0
     newest_evacuation: bounds.Revision = 0
+    newest_override: bounds.Revision = 0
 
     @property
     def newest_position(self) -> fleetmodel.Position:
@@ -92,6 +94,13 @@
             return None
         return fleetmodel.Position(self.era, self.newest_evacuation)
 
+    @property
+    def newest_override_position(self) -> fleetmodel.Position | None:
+        """Where the latest change of an override was, None if none is known."""
+        if not self.newest_override:
+            return None
+        return fleetmodel.Position(self.era, self.newest_override)
+
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Report)
@@ -438,6 +447,7 @@
         lost: list[int],
         era: int = 0,
         newest_evacuation: int = 0,
+        newest_override: int = 0,
     ) -> Report:
         """Return this host's report, with the addresses of some peers at times.
 
@@ -464,6 +474,7 @@
             ),
             era=era,
             newest_evacuation=newest_evacuation,
+            newest_override=newest_override,
         )
 
     def addressed_reports(self, report: Report) -> list[tuple[Report, list[str]]]:
--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -220,6 +220,7 @@
     Examples:
       | kinds                       |
       | evacuation                  |
+      | override                    |
       | target                      |
       | configuration               |
 
--- a/features/steps/evacuations_steps.py
+++ b/features/steps/evacuations_steps.py
@@ -408,7 +408,8 @@
 def make_exchange(context):
     """Set up the part that acts on reports; all kinds are known up to 1.10."""
     rig = rigs.make_rig(context, [])
-    kinds = (documents.CONFIG_KIND, documents.TARGETS_KIND, KIND)
+    operator_kinds = (documents.CONFIG_KIND, documents.OVERRIDES_KIND, KIND)
+    kinds = (*operator_kinds, documents.TARGETS_KIND)
     cache = documentcache.DocumentCache(
         {kind: lambda *_: None for kind in kinds}, threading.Lock()
     )
@@ -436,7 +437,8 @@
 def make_report(context, **changes):
     """Return a report of another peer that knows what this host knows."""
     ip = f"10.1.0.{len(context.reports) + 1}"
-    fields = {"config_version": 5, "newest_target": 10, "newest_evacuation": 10}
+    fields = {"config_version": 5, "newest_target": 10}
+    fields.update(newest_evacuation=10, newest_override=10)
     fields.update(changes)
     context.reports.append(
         peertable.Report(
@@ -461,6 +463,7 @@
     """Add a peer that knows more of a kind."""
     newer = {
         "evacuation": {"newest_evacuation": 11},
+        "override": {"newest_override": 11},
         "target": {"newest_target": 11},
         "configuration": {"config_version": 6},
     }
@@ -469,12 +472,13 @@
 
 @behave.when("a peer of an older version reports what this host knows")
 def report_without(context):
-    """Take a report whose last field is missing."""
-    make_report(context, newest_evacuation=0)
+    """Take a report whose last fields are missing."""
+    make_report(context, newest_evacuation=0, newest_override=0)
     fields = msgspec.msgpack.decode(peertable.ENCODER.encode(context.reports[0]))
-    datagram = msgspec.msgpack.encode(fields[:-1])
+    datagram = msgspec.msgpack.encode(fields[:-2])
     context.reports = [peertable.decode_report(datagram)]
     assert context.reports[0].newest_evacuation_position is None
+    assert context.reports[0].newest_override_position is None
 
 
 @behave.when("{seconds:g} s of reports pass")
