Soak changes in series beside a store that fails, judged by requests

Cause: the soak judged configurations by a metric, and nobody called the route that changes with each version; the store's end, its standing still, and lost answers were not played. Change: profile changes. Hosts that watch the store are suspended around changes, the store ends, stands still, or loses answers, links are silent in one direction, beside series of changes and planned work. Callers use the routes of the latest versions, and a flow that a target took by a route that only older versions have counts as a violation.

--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -4,8 +4,8 @@
 and a store on loopback, injects faults that the seed decides, and judges what callers
 and targets saw. It ends with status 1 if a promise was broken. Runs of different seeds
 have different addresses, so that some can run at a time; ``--logs DIR`` keeps the logs.
-``--profile planned`` plays the faults of `soakfaults` with some more hosts, ``--hosts``
-sets how many.
+``--profile planned`` plays the faults of `soakfaults` with some more hosts, ``--profile
+changes`` those of `soakstore`; ``--hosts`` sets how many.
 """
 
 import collections
@@ -30,13 +30,13 @@
 
 from basilgate import forwarder
 from basilgate.policy import domainchoice
-from lab import soakfaults
+from lab import soakfaults, soakroutes, soakstore
 from platformedge import packets
 from standins import fleetcaller, fleetstore, fleettarget, linkproxy, skewedhost
 
 DOMAINS = ("d1", "d1", "d2", "d2")
-HOSTS = {"usual": 4, "planned": 8}  # By profile.
-TARGETS = {"usual": 5, "planned": 12}
+HOSTS = {"usual": 4, "planned": 8, "changes": 12}  # By profile.
+TARGETS = {"usual": 5, "planned": 12, "changes": 12}
 SERVICE_IP = "198.18.0.1"
 SERVICE_PORT = 443
 LOW_PORT = 444  # Its route has the lower priority.
@@ -64,6 +64,7 @@
 BOUND_S = 3.0
 EXCUSED_S = 4.0
 HOST_FAULT_PAUSE_S = (0.0, 2.0)
+STORE_FAULT_PAUSE_S = (6.0, 14.0)  # Between two faults of the whole store.
 VERSION_PAUSE_S = 0.2  # Between two looks at the hosts' configurations.
 FAULT_PAUSE_S = (0.3, 1.5)  # Series of faults overlap.
 FAULT_SPAN_S = (0.5, 3.0)
@@ -97,6 +98,7 @@
     refused: int = 0
     outage_flows: int = 0  # Flows that `check_outages` has judged.
     versions_judged: int = 0
+    routes_judged: int = 0  # Flows by routes that changes of the configuration bring.
     drained_late: int = 0  # Openings after the bound, through hosts out of touch.
     resets_excused: int = 0  # Of flows of live targets, by hosts with faults.
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -180,17 +182,20 @@
     """Processes, traffic, faults, and checks of one run."""
 
     domain_of = staticmethod(domain_of)
+    service_ip = SERVICE_IP
 
     def __init__(
         self, seed: int, folder: pathlib.Path, profile: str = "usual", hosts: int = 0
     ) -> None:
-        self.planned = profile == "planned"
+        self.profile = profile
+        self.planned = profile != "usual"
         self.rng = random.Random(seed)
         self.returns_rng = random.Random(f"returns of {seed}")
         self.evacuations_rng = random.Random(f"evacuations of {seed}")
         self.bursts_rng = random.Random(f"bursts of {seed}")
         self.outages_rng = random.Random(f"outages of {seed}")
         self.host_faults_rng = random.Random(f"strikes of {seed}")
+        self.store_faults_rng = random.Random(f"store of {seed}")
         self.price = {domainchoice.PRICE_VARIABLE: DOMAIN_PRICE_MS} if seed % 2 else {}
         self.folder = folder
         # A network of its own for each seed: hosts, targets, callers.
@@ -209,6 +214,7 @@
         self.version = 1
         # When each version of the configuration was written.
         self.versions: list[tuple[float, int]] = []
+        self.routes = soakroutes.ChangedRoutes(self)
         self.ports: tuple[int, ...] = ()
         # What each target last reported, by its number: state and count of reports.
         # Missing if it has left.
@@ -286,6 +292,7 @@
             self.ports = (*PRIORITIES, 8_000 + self.version % 50)
             self.write_version()
             self.versions.append((time.monotonic(), self.version))
+            self.routes.note(self.version, self.ports[-1])
 
     def write_version(self) -> None:
         """Write the present version of the configuration."""
@@ -563,7 +570,7 @@
                 functools.partial(self.call, 0, port, str(n), 0.1, float("inf"))
             )
         if self.planned:
-            jobs.append(self.watch_hosts)
+            jobs += [self.watch_hosts, *self.routes.jobs()]
             for n in range(KEEPERS):
                 args = (0, SERVICE_PORT, str(CALLERS + n), KEPT_PAUSE_S, float("inf"))
                 jobs.append(functools.partial(self.call, *args, KEPT_REQUESTS))
@@ -599,6 +606,8 @@
         self.check_cold_targets()
         self.check_refusals()
         self.check_outages()
+        self.evidence.violations += self.routes.check(BOUND_S)
+        self.evidence.routes_judged = self.routes.judged
         asked, answered = self.evidence.calm_asked, self.evidence.calm_answered
         if not asked or answered < CALM_SHARE * asked:
             self.evidence.violations.append(
@@ -614,12 +623,19 @@
             (burst_class, self.bursts_rng, BURST_PAUSE_S),
         ]
         if self.planned:
-            host_faults = (
-                soakfaults.disturb_hosts,
-                self.host_faults_rng,
-                HOST_FAULT_PAUSE_S,
-            )
-            repeated.append(host_faults)
+            disturb = {
+                "planned": soakfaults.disturb_hosts,
+                "changes": soakstore.suspend_readers,
+            }[self.profile]
+            repeated.append((disturb, self.host_faults_rng, HOST_FAULT_PAUSE_S))
+            if self.profile == "changes":
+                repeated.append(
+                    (
+                        soakstore.disturb_store,
+                        self.store_faults_rng,
+                        STORE_FAULT_PAUSE_S,
+                    )
+                )
         else:
             # They excuse all hosts, so that they would hide faults of planned work.
             repeated += [
@@ -630,7 +646,11 @@
             threading.Thread(target=self.repeat, args=(ends_at, *found))
             for found in repeated
         ]
-        faults = soakfaults.FAULTS if self.planned else FAULTS
+        faults = {
+            "usual": FAULTS,
+            "planned": soakfaults.FAULTS,
+            "changes": soakstore.FAULTS,
+        }[self.profile]
         for span in spans:
             span.start()
         while time.monotonic() < ends_at:
@@ -713,6 +733,7 @@
 
 @register
 @soakfaults.register
+@soakstore.register
 def reload_host(soak: Soak, span_s: float) -> None:
     """Send SIGHUP to a forwarder."""
     del span_s
@@ -763,6 +784,7 @@
 
 @register
 @soakfaults.register
+@soakstore.register
 def age_listings(soak: Soak, span_s: float) -> None:
     """Let listings that may be old stay as they are for a time."""
     old = soak.store.copy()
@@ -775,6 +797,7 @@
 
 @register
 @soakfaults.register
+@soakstore.register
 def forget_history(soak: Soak, span_s: float) -> None:
     """Let the store drop its history."""
     del span_s
@@ -934,6 +957,7 @@
         f"{evidence.turned_away} turned away, {evidence.cold_peak} at a cold target, "
         f"{evidence.refused} flows refused, {evidence.outage_flows} judged in outages, "
         f"{evidence.versions_judged} versions judged, "
+        f"{evidence.routes_judged} flows by changed routes judged, "
         f"{evidence.drained_late} late openings excused, "
         f"{evidence.resets_excused} resets excused"
     )
--- a/standins/linkproxy.py
+++ b/standins/linkproxy.py
@@ -26,6 +26,8 @@
         Delay of all bytes, in seconds.
     silent_up, silent_down : bool
         Bytes to the target, or from it, are held until this ends.
+    refusing : bool
+        New connections are reset at once, as if nothing listened.
     """
 
     def __init__(self, target: tuple[str, int]) -> None:
@@ -33,6 +35,7 @@
         self.delay_s = 0.0
         self.silent_up = False
         self.silent_down = False
+        self.refusing = False
         self.lock = threading.Lock()
         self.opened: set[socket.socket] = set()
         self.socket = socket.create_server(("127.0.0.1", 0))
@@ -47,6 +50,10 @@
                 client, _ = self.socket.accept()
             except OSError:
                 return
+            if self.refusing:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                client.close()
+                continue
             try:
                 server = socket.create_connection(self.target)
             except OSError:
