Take packets that waited through a pause of the host for no evidence

Cause: repetitions of requests and opening packets that were sent over two seconds are read within milliseconds after a suspension. They counted as unanswered at this moment, and with one packet later as proof that the target cannot be reached; replies to them had gone through other hosts. Class: a decision on evidence as if it were of this moment. Change: while packets that waited are read they start and repeat no request, and a pause ends what was known of requests and openings without reply. Suspicions in force stay. Result: both examples of 'Requests from before and during a pause of the host prove nothing later' fail before (with a stub for the new method) and pass after; 110 scenarios of forwarding, held packets, and trust pass.

--- a/basilgate/flowtable.py
+++ b/basilgate/flowtable.py
@@ -189,6 +189,11 @@
         flow.request_sent_at = None
         flow.retransmissions = 0
 
+    def clear_requests(self) -> None:
+        """Remove the requests in progress of all flows."""
+        for flow in self.flows.values():
+            self.clear_request(flow)
+
     def running(self, target: str, now: float) -> float:
         """Return the mean number of this host's requests in progress at a target."""
         activity = self.activities.get(target)
--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -267,6 +267,8 @@
             if received_at - previous_at > PACKET_PAUSE_S:
                 # Packets may have waited in the socket's buffer for that long.
                 late_until = received_at + BACKLOG_TIMEOUT_S
+                with self.lock:
+                    self.forwarder.forget_evidence()
             self.forwarder.is_late = received_at < late_until
             if datagram is not None:
                 self.forward(datagram)
--- a/basilgate/forwarding.py
+++ b/basilgate/forwarding.py
@@ -117,6 +117,15 @@
         self.flows.remove_flows_of(target.name)
         self.prober.forget(target.name)
 
+    def forget_evidence(self) -> None:
+        """Forget requests and openings without replies, after a pause of this host.
+
+        The replies may have come through other hosts meanwhile.
+        """
+        self.flows.clear_requests()
+        self.suspicions.forget_flows()
+        self.unanswered_openings.clear()
+
     def handle_held(self, datagram: bytes) -> None:
         """Handle a packet that arrived before this host could forward it."""
         self.handles_held = True
@@ -254,7 +263,8 @@
             self.flows.remove(packet.flow)
             flow = None
         tried_targets = flow.tried_targets if flow is not None else ()
-        if flow is not None and tried_targets and packet.copy and not flow.was_held:
+        is_late = self.is_late or (flow is not None and flow.was_held)
+        if flow is not None and tried_targets and packet.copy and not is_late:
             self.suspect(
                 tried_targets[-1],
                 packet.flow,
@@ -303,7 +313,8 @@
             removed_at=entry.removed_at,
         )
         flow = self.flows.record_opening(packet.flow, target.name, now)
-        flow.was_held, flow.run = self.handles_held, target.started_ms
+        flow.was_held = self.handles_held or self.is_late
+        flow.run = target.started_ms
         if not flow.was_held:
             self.unanswered_openings.append(
                 (now + OPENING_TIMEOUT_S, packet.flow, target.name)
@@ -527,7 +538,8 @@
                 if latency_s is not None:
                     self.counts.observe(latency_s)
             self.suspicions.record_reply(flow.target, domain, now)
-        if not packet.data_bytes:
+        if not packet.data_bytes or self.is_late:
+            # The times of packets that waited through a pause are not known.
             return
         if (
             flow.request_sent_at is not None
--- a/basilgate/suspicion.py
+++ b/basilgate/suspicion.py
@@ -230,6 +230,11 @@
                 self.log.write("target_cleared", target=target)
             record.reset()
 
+    def forget_flows(self) -> None:
+        """Forget which flows wait for targets; suspicions in force stay."""
+        for record in self.records.values():
+            record.flows.clear()
+
     def clear_failures(self, targets: collections.abc.Iterable[str]) -> None:
         """Remove the evidence against targets that can be reached again."""
         for target in targets:
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -303,6 +303,19 @@
     When both flows' requests and their repetitions are read at once
     Then nothing is reset
 
+  Scenario Outline: Requests from before and during a pause of the host prove nothing later
+    Given a forwarder with 3 targets and two flows at the first, others busy
+    When <requests>
+    And both flows repeat their requests once, 1 s later
+    Then nothing is reset
+    When both flows repeat their requests twice without a reply
+    Then both flows and an idle third one are reset
+
+    Examples:
+      | requests                                                            |
+      | both flows' requests and repetitions are read late, after a pause   |
+      | both flows have repeated their requests twice, and the host pauses  |
+
   Scenario: A paused host does not refuse flows that callers may have opened elsewhere
     Given a store with 2 targets
     And three hosts of one failure domain
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -285,6 +285,29 @@
     repeat_requests(context, context.first)
 
 
+@behave.when("both flows' requests and repetitions are read late, after a pause")
+def read_late(context):
+    """Read what has waited in the socket's buffer."""
+    rig = context.fleet
+    rig.forwarder.forget_evidence()
+    rig.forwarder.is_late = True
+    repeat_requests(context, context.first, gaps=(0.0, 0.0, 0.0))
+    rig.forwarder.is_late = False
+
+
+@behave.when("both flows have repeated their requests twice, and the host pauses")
+def pause_after_repetitions(context):
+    """Repeat the requests, too soon for a proof, before a pause."""
+    repeat_requests(context, context.first, gaps=(0.0, 0.1, 0.1))
+    context.fleet.forwarder.forget_evidence()
+
+
+@behave.when("both flows repeat their requests once, 1 s later")
+def repeat_after_pause(context):
+    """Repeat the requests at last."""
+    repeat_requests(context, context.first, gaps=(1.0,))
+
+
 @behave.when("both flows repeat their requests twice, and one of them gets a reply")
 def repeat_with_reply(context):
     """Repeat the requests while the target acknowledges another flow."""
