--- a/features/fleet_soak.feature
+++ b/features/fleet_soak.feature
@@ -1,7 +1,7 @@
 Feature: A short soak of the packet program
   Guards against promises that break only when faults overlap. Longer runs with other
   seeds: python -m lab.fleetsoak --seed N --seconds S, with --profile planned for
-  planned work.
+  planned work, --profile changes for series of changes.
 
   Scenario Outline: Faults of a seed break no promise
     When the soak runs with seed <seed> for 14 s
@@ -34,6 +34,10 @@
       | 1324 |
       | 1371 |
 
+  Scenario: Changes in series beside a store that fails break no promise
+    When the soak plays changes in series with seed 3113 for 14 s
+    Then no promise is broken and requests were answered
+
   # A lost target was back, cold, under its expired entry, and got flows beyond its limit.
   @known_red
   Scenario: A seed that failed, with an outage and its return
--- a/features/steps/fleet_soak_steps.py
+++ b/features/steps/fleet_soak_steps.py
@@ -29,6 +29,12 @@
     context.evidence = evidence_of(seed, seconds, "planned")
 
 
+@behave.when("the soak plays changes in series with seed {seed:d} for {seconds:d} s")
+def run_soak_of_changes(context, seed, seconds):
+    """Run changes in series beside a store that fails."""
+    context.evidence = evidence_of(seed, seconds, "changes")
+
+
 @behave.then("no promise is broken and requests were answered")
 def check_soak(context):
     """Check what was seen."""
