Tell revisions of different eras apart when changes are accounted for

What operators would see: an override or a drain that is not in force for up to 22 s. Cause: revisions that had been received counted as received also after the store's return, which gives them out again, so a lost answer about one of them went unnoticed. Change: positions, with their era, are kept instead of revisions. The parts of KindWatcher.poll_once that end failures and apply a listing are methods of their own. Result: 'Revisions that the store gives out again do not count as received' fails before and passes after.

--- a/basilgate/documentcache.py
+++ b/basilgate/documentcache.py
@@ -12,7 +12,7 @@
 
 MAX_TOMBSTONES = 10_000  # Targets that are replaced within a day at a large site.
 # Changes within seconds at a large site; an older one counts as not received.
-MAX_REVISIONS = 1_024
+MAX_RECEIVED_CHANGES = 1_024
 # Position of a kind of which nothing is cached, before that of any listing.
 UNLISTED = fleetmodel.Position(store.UNCONFIRMED_ERA, 0)
 
@@ -75,8 +75,8 @@
     ) -> None:
         self.kinds = {kind: KindCache({}, apply) for kind, apply in appliers.items()}
         self.changed = threading.Condition(lock)
-        # Revisions of the latest changes received, of any kind, the oldest first.
-        self.revisions: dict[int, None] = {}
+        # Positions of the latest changes received, of any kind, in the order received.
+        self.received_changes: dict[fleetmodel.Position, None] = {}
         self.era = 0  # Latest era of the store that any response or peer has shown.
 
     def position(self, kind: str) -> fleetmodel.Position:
@@ -106,7 +106,7 @@
             return position > known
         with self.changed:
             return any(
-                revision not in self.revisions
+                fleetmodel.Position(known.era, revision) not in self.received_changes
                 for revision in range(known.revision + 1, position.revision + 1)
             )
 
@@ -163,7 +163,7 @@
                 and position.era == cached.position.era
             ):
                 return False
-            self.note_revisions(listing)
+            self.note_changes(listing)
             incoming = list(listing.documents)
             lost: list[documents.StoredDocument] = []
             if position.era < cached.position.era:
@@ -206,16 +206,12 @@
             self.changed.notify_all()
         return True
 
-    def note_revisions(self, listing: store.Listing) -> None:
-        """Keep the revisions of the latest changes; the caller holds the lock."""
-        if listing.position.era < self.era:
-            return
-        if listing.position.era > self.era:
-            self.revisions.clear()
+    def note_changes(self, listing: store.Listing) -> None:
+        """Keep the positions of a listing's changes; the caller holds the lock."""
         for document in listing.documents:
-            self.revisions[document.position.revision] = None
-        while len(self.revisions) > MAX_REVISIONS:
-            del self.revisions[next(iter(self.revisions))]
+            self.received_changes[document.position] = None
+        while len(self.received_changes) > MAX_RECEIVED_CHANGES:
+            del self.received_changes[next(iter(self.received_changes))]
 
     def describe_listing(
         self, kind: str, listing: store.Listing, previous: fleetmodel.Position
--- a/basilgate/storewatch.py
+++ b/basilgate/storewatch.py
@@ -224,37 +224,52 @@
         # An answer may be read long after it came, if the process was suspended.
         self.answered_at = min(clock.steady_s(), started_at + duration_s)
         self.reading_until = self.answered_at + READING_DURATION_S
-        self.check_pending = self.call_aborted = False
+        self.end_failures()
+        self.apply_listing(result, position, complete)
+        if not was_listed:
+            self.yield_after(UPSTREAM_WAIT_S)
+        elif result.documents and not complete:
+            self.next_call_at = clock.steady_s() + BATCH_DELAY_S
+
+    def end_failures(self) -> None:
+        """Record that the store has answered, and let the others check it if it failed.
+
+        Their connections may have failed with this one's, and their watches would not
+        show it for the rest of `WATCH_DURATION_S`.
+        """
+        self.check_pending = self.call_aborted = self.history_gone = False
         if self.failures:
             self.log.write("store_regained", kind=self.kind, failures=self.failures)
             if self.primary is None:
-                # Their connections may have failed with this one's, and their watches
-                # would not show it for the rest of `WATCH_DURATION_S`.
                 for watcher in self.siblings:
                     watcher.check_now()
         self.failures = 0
-        self.history_gone = False
-        for problem in result.unreadable:
+
+    def apply_listing(
+        self, listing: store.Listing, previous: fleetmodel.Position, complete: bool
+    ) -> None:
+        """Apply what the store has answered to the cache, and log it.
+
+        `previous` is the position of the kind before, `complete` whether the listing
+        has all documents.
+        """
+        for problem in listing.unreadable:
             self.counts.add("unreadable_documents_total", kind=self.kind)
             self.log.write("document_unreadable", kind=self.kind, problem=problem)
-        applied = self.cache.update(self.kind, result, complete)
+        applied = self.cache.update(self.kind, listing, complete)
         if self.primary is None:
             for watcher in self.siblings:
-                watcher.note_progress(result.position)
+                watcher.note_progress(listing.position)
         if complete:
-            described = self.cache.describe_listing(self.kind, result, position)
+            described = self.cache.describe_listing(self.kind, listing, previous)
             self.log.write("kind_listed", **described, applied=applied)
-        elif result.documents and self.kind in documentmerge.OPERATOR_KINDS:
+        elif listing.documents and self.kind in documentmerge.OPERATOR_KINDS:
             self.log.write(
                 "change_received",
                 kind=self.kind,
-                revision=result.position,
+                revision=listing.position,
                 source="store",
             )
-        if not was_listed:
-            self.yield_after(UPSTREAM_WAIT_S)
-        elif result.documents and not complete:
-            self.next_call_at = clock.steady_s() + BATCH_DELAY_S
 
     def watch_times(self) -> tuple[float, float]:
         """Return how long the next watch waits and how much longer it may take, in s.
--- a/features/fleet_catch_up.feature
+++ b/features/fleet_catch_up.feature
@@ -157,3 +157,10 @@
       | kind                | change                             | effect      |
       | servers             | a third target is added to the store | 3 targets   |
       | basilgate-overrides | an override of a target is added   | 1 overrides |
+
+  Scenario: Revisions that the store gives out again do not count as received
+    Given a host and a peer that both know 5 targets and configuration 5
+    When the host has received a target at revision 11
+    Then no change up to revision 11 is missing
+    When the store has come back from a copy, and all kinds are listed up to revision 9
+    Then a change up to revision 11 is missing
--- a/features/steps/fleet_catch_up_steps.py
+++ b/features/steps/fleet_catch_up_steps.py
@@ -649,3 +649,38 @@
     while len(found) != count:
         assert time.monotonic() < ends_at, f"{len(found)} {what} after {limit_s} s"
         time.sleep(0.02)
+
+
+@behave.when("the host has received a target at revision {revision:d}")
+def receive_target(context, revision):
+    """Apply a change of one kind."""
+    apply_entry(context, fleetmodel.Position(0, revision), False)
+
+
+@behave.when(
+    "the store has come back from a copy, and all kinds are listed up to revision"
+    " {revision:d}"
+)
+def list_in_next_era(context, revision):
+    """Learn of the next era, and list all kinds."""
+    context.host.cache.raise_era(1)
+    context.host.list_documents(5, 5, revision, 1)
+
+
+def lacks_change(context, revision):
+    """Return whether a change up to a revision may be of an override."""
+    cache = context.host.cache
+    position = fleetmodel.Position(cache.era, revision)
+    return cache.lacks_change(documents.OVERRIDES_KIND, position)
+
+
+@behave.then("no change up to revision {revision:d} is missing")
+def check_complete(context, revision):
+    """Check that each revision is accounted for."""
+    assert not lacks_change(context, revision)
+
+
+@behave.then("a change up to revision {revision:d} is missing")
+def check_missing(context, revision):
+    """Check that a revision of the earlier era does not count."""
+    assert lacks_change(context, revision)
