Excuse refusals in the soak while the whole store is away

The trace: an evacuation of d1 ended at about 482.7, the store stood still for all hosts until 485.2, and d2 was evacuated. The hosts learned of both at 485.4, so the targets of d1, cold from then on, were at their limit until 488.7, while the check excused them by the time at which the operator ended the evacuation, until 486.7. Nobody could have told the hosts.

--- a/lab/fleetsoak.py
+++ b/lab/fleetsoak.py
@@ -499,6 +499,10 @@
             if flow.ended != "reset" or flow.opened_by is not None:
                 continue
             self.evidence.refused += 1
+            if self.is_excused("store", moment):
+                # Hosts learn late that an evacuation has ended, and its targets are
+                # cold from then on.
+                continue
             able = any(self.can_serve(target, moment) for target in self.targets)
             if port == SERVICE_PORT and able:
                 problem = f"flow of high priority was refused by {flow.host}"
--- a/lab/soakstore.py
+++ b/lab/soakstore.py
@@ -55,11 +55,17 @@
     write_series(soak, soak.rng)
 
 
+def disturb_all(soak: "fleetsoak.Soak", span_s: float) -> None:
+    """Note that no host can learn anything from the store for a time."""
+    soak.disturb("hosts", span_s)
+    soak.disturb("store", span_s)
+
+
 def stop_store(soak: "fleetsoak.Soak", span_s: float) -> None:
     """Let the store end right after a change, and start again."""
     span_s = min(span_s, STORE_SPAN_S[1])
     soak.write_configuration()
-    soak.disturb("hosts", span_s)
+    disturb_all(soak, span_s)
     for host in soak.hosts:
         host.link.refusing = True
         host.link.reset()
@@ -73,7 +79,7 @@
     """Let the store stand still right after a change, and end its connections."""
     span_s = min(span_s, STORE_SPAN_S[1])
     soak.write_configuration()
-    soak.disturb("hosts", span_s)
+    disturb_all(soak, span_s)
     for host in soak.hosts:
         host.link.silent_down = True
     soak.write_configuration()
