Log kinds of documents that a peer confirms after the store's return

What operators saw: store_era_changed on a host without the kind_listed lines that are to follow. Cause: documents that another host confirms as the same are not sent, and only sent ones were logged. Change: what is confirmed is logged like what is sent, with no documents.

--- a/basilgate/relay/transfer.py
+++ b/basilgate/relay/transfer.py
@@ -52,7 +52,8 @@
             self.apply_documents(frame, source)
         for name, position in frame.confirmed.items():
             if name in self.cache.kinds and position > self.cache.position(name):
-                self.cache.update(name, store.Listing([], position, []), False)
+                listing = store.Listing([], position, [])
+                self.apply_listing(name, listing, False, source)
         if frame.unstored and documents.OVERRIDES_KIND in self.cache.kinds:
             self.cache.add_unstored(documents.OVERRIDES_KIND, frame.unstored)
         if frame.held and documents.EVACUATIONS_KIND in self.cache.kinds:
@@ -70,10 +71,9 @@
             self.received[name] = max(known, position)
 
     def apply_documents(self, frame: relaymessages.DocumentFrame, source: str) -> None:
-        """Apply the documents of a message; log it if they are from a later era."""
-        previous = self.cache.position(frame.kind)
+        """Apply the documents of a message."""
         listing = relaymessages.read_frame(frame)
-        applied = self.cache.update(frame.kind, listing, frame.complete)
+        self.apply_listing(frame.kind, listing, frame.complete, source)
         if frame.documents and frame.kind in documentmerge.OPERATOR_KINDS:
             self.log.write(
                 "change_received",
@@ -81,8 +81,15 @@
                 revision=listing.position,
                 source=source,
             )
+
+    def apply_listing(
+        self, kind: str, listing: store.Listing, complete: bool, source: str
+    ) -> None:
+        """Apply what a host has sent or confirmed; log it if it is of a later era."""
+        previous = self.cache.position(kind)
+        applied = self.cache.update(kind, listing, complete)
         if listing.position.era > previous.era:
-            described = self.cache.describe_listing(frame.kind, listing, previous)
+            described = self.cache.describe_listing(kind, listing, previous)
             self.log.write(
                 "kind_listed", **described, applied=applied, relay_source=source
             )
--- a/features/steps/store_return_steps.py
+++ b/features/steps/store_return_steps.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import time
+import types
 import zlib
 
 import behave
@@ -532,3 +533,28 @@
     )
     lines = [line for line in host.log().splitlines() if "event=kind_listed" in line]
     assert any("revision=2." in line and "kept=" in line for line in lines), lines
+
+
+@behave.when("another host that knows the override asks the source")
+def ask_with_same_documents(context):
+    """Take the source's confirmation of the same documents."""
+    cache = context.client.cache
+    known = override_at(1, 16)
+    cache.update(OVERRIDES, store.Listing([known], known.position, []), True)
+    digests = {OVERRIDES: cache.digest(OVERRIDES)}
+    subscription = relaymessages.Subscription("h2", digests)
+    _, confirmation = context.server.changes_known_to(subscription)
+    context.events = []
+    context.client.receiver.log = types.SimpleNamespace(
+        write=lambda event, **fields: context.events.append((event, fields))
+    )
+    context.client.apply_frame(confirmation)
+
+
+@behave.then("it tells in its log that the overrides are of the next era")
+def check_confirmed_era(context):
+    """Check the event of the kind."""
+    listed = [fields for event, fields in context.events if event == "kind_listed"]
+    assert [(f["kind"], f["revision"].era) for f in listed] == [(OVERRIDES, 2)], (
+        context.events
+    )
--- a/features/store_return.feature
+++ b/features/store_return.feature
@@ -226,3 +226,8 @@
     And a fourth host starts
     Then configuration 7 is in force on the fourth host as well
     And the second host tells in its log when it learned of the return
+
+  Scenario: A host whose documents a peer confirms after the return tells that in its log
+    Given an override that a source kept when the store lost it
+    When another host that knows the override asks the source
+    Then it tells in its log that the overrides are of the next era
