--- a/review/harness.py
+++ b/review/harness.py
@@ -36,6 +36,7 @@
 CALLER_PAUSE_S = 0.15  # Of a caller between two flows.
 START_LIMIT_S = 30.0
 PORTS_PER_HOST = 4
+BROKEN_STATUS = 10  # `run.sh` turns it into 1.
 
 SETTINGS = """\
 node = "front-{ip}"
@@ -424,6 +425,8 @@
     The case gets the record, and whether to make the disruption. It returns the
     breaches of the rule that it has seen.
     """
+    # So that a script that is stopped early ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'yes' if trouble else 'no'}")
@@ -434,9 +437,10 @@
             record.write(f"BROKEN: {breach}")
         record.write(f"{len(breaches)} breaches of the rule")
         print(f"{len(breaches)} breaches of the rule; see record.txt")
-        status = 1 if breaches else 0
-    except (CaseError, OSError) as error:
-        record.write(f"the case could not run: {error}")
-        print(f"the case could not run: {error}")
+        status = BROKEN_STATUS if breaches else 0
+    except Exception as error:
+        # Anything that fails here says nothing about the rule.
+        record.write(f"the case could not run: {error!r}")
+        print(f"the case could not run: {error!r}")
     record.save()
     sys.exit(status)
