--- a/review/harness.py
+++ b/review/harness.py
@@ -252,6 +252,7 @@
         self.callers = fleetcaller.Callers(f"{net}.3.1", self.port + 1, 1)
         self.hosts = [Host(self, ip, zone_of(n)) for n, ip in enumerate(self.host_ips)]
         self.ending = threading.Event()
+        self.answered_at: list[float] = []  # When requests were answered.
         self.threads: list[threading.Thread] = []
 
     def list_target(self, target: fleettarget.FleetTarget, state: str) -> None:
@@ -316,6 +317,8 @@
                     f"through {flow.host}"
                 )
                 answer = self.callers.ask(flow, request.encode())
+                if answer:
+                    self.answered_at.append(time.monotonic())
                 self.record.write(
                     f"caller: {request} at i-{flow.opened_by:08x} "
                     + ("answered" if answer else "never answered")
