--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -158,14 +158,19 @@
       | page    | fault                         |
       | listing | opening 100000 arrays         |
       | watch   | opening 100000 arrays         |
+      | watch with the object first | opening 100000 arrays         |
       | listing | closing 100000 arrays         |
       | watch   | closing 100000 arrays         |
       | listing | opening a string              |
       | watch   | opening a string              |
+      | watch with the object first | opening a string              |
 
   Scenario: No bytes of one entry hide others
     Then whatever bytes one entry of a page has, the others are read
 
+  Scenario: Entries that were cut hide no others
+    Then wherever two entries of a page are cut, at either end, the others are read
+
   Scenario Outline: A report with a number out of bounds is malformed
     When a peer's report has <value> as <field>
     Then the report is malformed
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -487,10 +487,17 @@
     """Return a page with the content of the entry in its middle, and its decoder."""
     items = [stored_entry(number, entry(9)) for number in range(1, count + 1)]
     items[count // 2]["spec"] = spec
+    return encode_items(page, items)
+
+
+def encode_items(page, items):
+    """Return a page with entries, and its decoder."""
     if page == "listing":
         body, decode = {"items": items, "as-of": 7}, documents.decode_listing
     else:
-        events = [{"object": item, "deleted": False} for item in items]
+        events = [{"deleted": False, "object": item} for item in items]
+        if page == "watch with the object first":
+            events = [dict(reversed(event.items())) for event in events]
         body, decode = {"events": events, "as-of": 7}, documents.decode_events
     return fleetstore.encode(body), decode
 
@@ -526,15 +533,22 @@
     assert len(problems) == 1 and odd in problems[0], problems
 
 
+PAGES = ["listing", "watch", "watch with the object first"]
+
+
+def any_bytes():
+    """Return a strategy for the bytes that a writer may leave."""
+    marks = strategies.sampled_from([b"[", b"]", b"{", b"}", b'"', b"\\", b",", b":"])
+    return strategies.lists(marks | strategies.binary(max_size=3)).map(b"".join)
+
+
 @behave.then("whatever bytes one entry of a page has, the others are read")
 def check_any_bytes(context):
     """Put drawn bytes into one entry."""
     del context
     names, odd = page_names(5)
-    marks = strategies.sampled_from([b"[", b"]", b"{", b"}", b'"', b"\\", b",", b":"])
-    drawn = strategies.lists(marks | strategies.binary(max_size=3)).map(b"".join)
 
-    @hypothesis.given(strategies.sampled_from(["listing", "watch"]), drawn)
+    @hypothesis.given(strategies.sampled_from(PAGES), any_bytes())
     def survive(page, content):
         found, _ = read_targets(*encode_page(page, 5, content))
         assert names - {odd} <= found <= names, found
@@ -542,6 +556,35 @@
     survive()
 
 
+@behave.then(
+    "wherever two entries of a page are cut, at either end, the others are read"
+)
+def check_cut_entries(context):
+    """Cut drawn entries at drawn places."""
+    del context
+    names = [f"i-{number:010x}" for number in range(1, 7)]
+    content = fleetstore.encode({**entry(9), "tags": [{"a": "b"}, {"c": ["d"]}]})
+    cut = strategies.tuples(
+        strategies.integers(0, len(names) - 1),
+        strategies.integers(1, len(content) - 1),
+        strategies.booleans(),
+    )
+
+    @hypothesis.given(
+        strategies.sampled_from(PAGES), strategies.lists(cut, min_size=1, max_size=2)
+    )
+    def survive(page, cuts):
+        items = [stored_entry(number, entry(9)) for number in range(1, 7)]
+        for index, place, keeps_begin in cuts:
+            part = content[:place] if keeps_begin else content[place:]
+            items[index]["spec"] = fleetstore.RawJson(part)
+        odd = {names[index] for index, _, _ in cuts}
+        found, _ = read_targets(*encode_items(page, items))
+        assert found == set(names) - odd, (found, cuts)
+
+    survive()
+
+
 @behave.then("all {count:d} are split, in at most {limit:d} steps for each")
 def check_steps(context, count, limit):
     """Count the steps that are made in Python."""
@@ -615,12 +658,13 @@
     # To shrink an example would take minutes, as each one that fails is slow.
     @hypothesis.settings(phases=[hypothesis.Phase.generate], report_multiple_bugs=False)
     @hypothesis.given(
-        strategies.sampled_from(["listing", "watch"]),
-        strategies.sampled_from([b"", b'"', b"["]),
+        strategies.sampled_from(PAGES),
+        strategies.sampled_from([b"", b'"', b"[", b"}", b"]", b","]),
         drawn.map(b"".join),
+        strategies.sampled_from([b"", b'"', b"[", b"}", b"]", b",", b"1"]),
     )
-    def survive(page, before, repeated):
-        end = before + repeated * (size // len(repeated))
+    def survive(page, before, repeated, after):
+        end = before + repeated * (size // len(repeated)) + after
         taken_s = reading_s(*torn_page(page, end))
         assert taken_s <= READING_LIMIT_S, taken_s
 
--- a/standins/fleetstore.py
+++ b/standins/fleetstore.py
@@ -266,7 +266,7 @@
                 if not kept and (after < self.forgotten or after > self.revision):
                     return None
                 events = [
-                    {"object": stored, "deleted": deleted}
+                    {"deleted": deleted, "object": stored}
                     for revision, found, stored, deleted in self.history
                     if found == kind and revision > after
                 ]
