Suspend the pin of a target that has announced that it leaves

Cause: `overriderules.admits` returned True for a pin before it looked at `leaving`, and only evacuations were checked before overrides.

The announcement is not a decision of this automation: the target exits in any case.

Change: hosts check the departure where they check evacuations. The override itself stays, `override_suspended` names the reason, `explain` shows the conflict, and a new run of the target puts the pin in force again. Sheets and balancers are unchanged: there, a pin overrules what the sheet says.

The example "pin while leaving | gets flows" of features/fleet_forwarding.feature stated the fault; it now states "gets no flow".

--- a/basilgate/fleetcommands.py
+++ b/basilgate/fleetcommands.py
@@ -137,14 +137,14 @@
     """
     if target.domain in evacuations:
         return False, f"evacuation of {target.domain}"
+    if target.leaving:
+        return False, "leaving"
     kind = override.kind if override is not None else ""
     weight = overriderules.weight_of(override, fleetview.USUAL_WEIGHT)
-    admitted = overriderules.admits(kind, weight, target.leaving)
+    admitted = overriderules.admits(kind, weight, leaving=False)
     if override is not None:
         description = f"weight {weight}" if kind == "weight" else kind
         reason = f"override {override.name}: {description}"
-    elif target.leaving:
-        reason = "leaving"
     else:
         reason = "cold" if target.cold_s else "ready"
     return admitted, reason
@@ -230,7 +230,8 @@
     is_pinned = override is not None and override.kind == "pin"
     if target.leaving and is_pinned:
         lines.append(
-            "conflict: the target has announced that it leaves, but it is pinned"
+            "conflict: the target is pinned, but it has announced that it leaves; the "
+            "pin is suspended"
         )
     if target.domain in contents.evacuations and is_pinned:
         lines.append(
--- a/basilgate/fleetview.py
+++ b/basilgate/fleetview.py
@@ -93,7 +93,7 @@
         self.on_new_run: collections.abc.Callable[[fleetmodel.Target], None] = (
             lambda _: None
         )
-        # Names of the pins whose targets are in evacuated failure domains.
+        # Names of the pins that have no effect now.
         self.suspended_pins: set[str] = set()
         # Version of the configuration that removed a route, by key of the route.
         self.removed_routes: dict[bytes, int] = {}
@@ -124,33 +124,45 @@
         self.update_suspended_pins()
 
     def update_suspended_pins(self) -> None:
-        """Log the pins that an evacuation suspends, and those in force again."""
-        if not self.suspended_pins and not self.evacuations.begun_at:
+        """Log the pins that are suspended, and those in force again."""
+        pins = [override for override in self.overrides.values() if is_pin(override)]
+        if not pins and not self.suspended_pins:
             return
         active = overriderules.newest_active(self.overrides.values(), clock.unix_s())
-        suspended = {
-            override.name
-            for override in active.values()
-            if override.kind == "pin"
-            and self.evacuations.in_force(self.domain_of(override.target))
-        }
-        for name in sorted(suspended - self.suspended_pins):
-            override = self.overrides[name]
-            self.log.write(
-                "override_suspended",
-                override=name,
-                target=override.target,
-                domain=self.domain_of(override.target),
-            )
+        suspended: set[str] = set()
+        for override in filter(is_pin, active.values()):
+            target = self.target_named(override.target)
+            reason = self.overruled_by(target) if target is not None else ""
+            if target is None or not reason:
+                continue
+            suspended.add(override.name)
+            if override.name not in self.suspended_pins:
+                self.log.write(
+                    "override_suspended",
+                    override=override.name,
+                    target=target.name,
+                    domain=target.domain,
+                    reason=reason,
+                )
         for name in sorted(self.suspended_pins - suspended):
             if name in self.overrides:
                 self.log_override(self.overrides[name])
         self.suspended_pins = suspended
 
-    def domain_of(self, name: str) -> str:
-        """Return the failure domain of a target, empty if the target is not known."""
+    def target_named(self, name: str) -> fleetmodel.Target | None:
+        """Return a listed or removed target, None if it is not known."""
         entry = self.entries.get(name) or self.removed.get(name)
-        return entry.target.domain if entry is not None else ""
+        return entry.target if entry is not None else None
+
+    def overruled_by(self, target: fleetmodel.Target) -> str:
+        """Return why overrides of a target have no effect, empty if they have one.
+
+        ``evacuated``: its failure domain is. ``leaving``: the target has announced that
+        it will exit, which would break the flows that it still got.
+        """
+        if self.evacuations.in_force(target.domain):
+            return "evacuated"
+        return "leaving" if target.leaving else ""
 
     def is_service_evacuated(self, service: str) -> bool:
         """Return whether a service has listed targets in evacuated failure domains."""
@@ -373,18 +385,21 @@
                 continue
             if entry.closes_at is not None and now >= entry.closes_at:
                 continue
-            # An evacuation takes precedence over every override, also over a pin.
-            if self.evacuations.in_force(target.domain):
+            if self.overruled_by(target):
                 continue
             override = active.get((service, target.name))
             kind = override.kind if override else ""
-            if overriderules.admits(
-                kind, overriderules.weight_of(override, 1), target.leaving
-            ):
+            weight = overriderules.weight_of(override, 1)
+            if overriderules.admits(kind, weight, leaving=False):
                 candidates.append(entry)
         return candidates
 
 
+def is_pin(override: fleetmodel.Override) -> bool:
+    """Return whether an override is a pin."""
+    return override.kind == "pin"
+
+
 def run_of(target: fleetmodel.Target) -> tuple[int, fleetmodel.Address]:
     """Return what tells the runs of a target of one name apart: start and address."""
     return target.started_ms, target.address
--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -135,10 +135,22 @@
       | pull              | gets no flow        |
       | drain             | gets no flow        |
       | weight 0          | gets no flow        |
-      | pin while leaving | gets flows          |
+      | pin while leaving | gets no flow        |
       | an expired pull   | gets flows          |
       | a removed pull    | gets flows          |
 
+  Scenario: A pin of a leaving target opens no flows that its exit would break
+    Given a forwarder with 2 targets
+    When the first target has the override pin
+    And the first target announces that it leaves
+    And 20 flows open
+    Then the first target gets no flow
+    And the log of overrides has override_suspended once
+    When the first target starts again under its name
+    And 60 flows open
+    Then the first target gets flows
+    And the log of overrides has override_in_force twice
+
   Scenario: A near target is preferred until it is clearly busier
     Given a forwarder with a near and a far target
     When 20 flows open
--- a/features/steps/evacuations_steps.py
+++ b/features/steps/evacuations_steps.py
@@ -173,6 +173,7 @@
 
 
 @behave.then("the log of evacuations has {event} {times}")
+@behave.then("the log of overrides has {event} {times}")
 def check_logged(context, event, times):
     """Count the events."""
     expected = {"once": 1, "twice": 2}[times]
