Call the store at the address that changed settings name

A route that an operator added later was refused with resets more than 3 s after its acceptance.

Cause: `ForwarderProcess.reload` replaced the settings, but each connection to the store kept the address of the start.

Change: connections get the new address, the call in progress ends, and each kind is checked there at once, as after a pause. `store_address_changed` is logged.

Evidence: the new scenario fails on ("not in 20.0 s: version 9") and passes now, with a SIGHUP to one of two hosts and a changed file alone at the other.

--- a/basilgate/forwarder.py
+++ b/basilgate/forwarder.py
@@ -397,10 +397,18 @@
         if isinstance(loaded, str):
             self.log.write("settings_refused", problem=loaded)
             return
-        changed = loaded != self.settings
+        previous, self.settings = self.settings, loaded
         # The sockets keep their addresses; changed seeds and bounds take effect.
-        self.settings = self.peers.settings = loaded
-        self.log.write("settings_reloaded", changed=changed)
+        self.peers.settings = loaded
+        self.log.write("settings_reloaded", changed=loaded != previous)
+        if loaded.store != previous.store:
+            self.log.write(
+                "store_address_changed", address=f"{loaded.store[0]}:{loaded.store[1]}"
+            )
+            self.restorer.connection.address = loaded.store
+            for watcher in self.watchers:
+                watcher.connection.address = loaded.store
+                watcher.check_now()
 
     def run(self) -> None:
         """Start all threads and forward packets until SIGTERM.
--- a/features/fleet_feed.feature
+++ b/features/fleet_feed.feature
@@ -196,6 +196,15 @@
     Then it logs settings_reloaded
     And it is still ready
 
+  Scenario: Hosts miss no change after their settings name another address of the store
+    Given a store with 2 targets
+    And two hosts of one failure domain, both with an address of their own
+    When the second host follows the first
+    And the settings of both hosts name another address, and the first gets SIGHUP
+    And the store falls silent for the first host
+    And configuration 9 is written
+    Then configuration 9 is in force on all hosts
+
   Scenario: A host that starts with an old listing hears what has changed since
     Given a store with 2 targets
     And the store's listings that may be old stay as they are now
--- a/features/steps/fleet_feed_steps.py
+++ b/features/steps/fleet_feed_steps.py
@@ -429,6 +429,26 @@
     behave.use_fixture(split_forwarders, context, [(True, "d1"), (False, "d1")])
 
 
+@behave.given("two hosts of one failure domain, both with an address of their own")
+def start_both(context):
+    """Start the hosts."""
+    behave.use_fixture(split_forwarders, context, [(True, "d1"), (True, "d1")])
+
+
+@behave.when(
+    "the settings of both hosts name another address, and the first gets SIGHUP"
+)
+def move_store(context):
+    """Write the settings, and wait until both hosts have read them."""
+    for host in context.hosts:
+        host.path.write_text(settings_text(context, host.ip))
+    context.hosts[0].process.send_signal(signal.SIGHUP)
+    for host in context.hosts:
+        eventually(
+            lambda host=host: "event=settings_reloaded" in host.log(), "it reloads"
+        )
+
+
 @behave.when("the second host follows the first")
 def wait_for_second(context):
     """Wait until the second host follows."""
