--- a/features/late_changes.feature
+++ b/features/late_changes.feature
@@ -30,3 +30,17 @@
       | suspended |
       | 1.2       |
       | 1.8       |
+
+  Scenario Outline: Calls of a silent outage that are never answered delay later changes
+    Given a store with 2 targets
+    And 6 hosts of one failure domain with links of their own
+    When configuration 7 is in force on all of them
+    And the store is silent for all hosts for <silent> s, and those calls stay unanswered
+    And a target leaves and configuration 8 is written
+    Then all hosts know both within 4 s
+
+    Examples:
+      | silent |
+      | 0.3    |
+      | 1.0    |
+      | 3.3    |
--- a/features/steps/late_changes_steps.py
+++ b/features/steps/late_changes_steps.py
@@ -107,6 +107,50 @@
     process.send_signal(signal.SIGCONT)
 
 
+@behave.when(
+    "the store is silent for all hosts for {silent_s:g} s, and those calls stay"
+    " unanswered"
+)
+def lose_calls(context, silent_s):
+    """Lose the calls that are open during an outage, up to its last moment."""
+    for faults in context.faults:
+        faults.silent = True
+    time.sleep(silent_s)
+    for faults in context.faults:
+        faults.lost_before = time.monotonic()
+        faults.silent = False
+
+
+@behave.when("a target leaves and configuration {version:d} is written")
+def change_both(context, version):
+    """Let a target report its departure, and write a configuration."""
+    entry = {**fleet_feed_steps.entry(1), "state": "draining"}
+    context.store.put("servers", "i-00000001", entry)
+    write(context, version)
+
+
+@behave.then("all hosts know both within {limit_s:g} s")
+def check_both(context, limit_s):
+    """Compare when each host has the configuration and the departure with the limit.
+
+    The limit is the time after which a store that has come back counts as stable.
+    """
+    context.disturbed = 0
+    check_in_time(context, 8, limit_s)
+    for host in context.hosts:
+        fleet_feed_steps.eventually(
+            lambda host=host: departure_times(host), "the departure"
+        )
+        delay_s = departure_times(host)[0] - context.written_at
+        assert delay_s <= limit_s, (host.ip, delay_s)
+
+
+def departure_times(host):
+    """Return the Unix times at which a host learned of departures."""
+    lines = [line for line in host.log().splitlines() if " leaving=True " in line]
+    return [float(line.split("time=")[1].split()[0]) for line in lines]
+
+
 @behave.then(
     "configuration {version:d} is in force on the other hosts within {limit_s:g} s"
 )
