--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -169,6 +169,17 @@
       | watch   | opening a string              |
       | watch with the object first | opening a string              |
 
+  Scenario Outline: Members that follow the entries of a page hide none beside an odd one
+    Given a <page> of 300 entries, one of them with a control character
+    And it ends with <members>
+    Then the 299 others are read, and the odd one is unreadable by its name
+
+    Examples:
+      | page    | members                                  |
+      | listing | "took": 1.5, "cursor": "a,b"             |
+      | watch   | "cursor": "a]b"                          |
+      | listing | "counts": {"read": [1, 2]}, "last": null |
+
   Scenario: No bytes of one entry hide others
     Then whatever bytes one entry of a page has, the others are read
 
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -463,6 +463,12 @@
     context.page, context.decode = encode_page(page, count, FAULTS[fault])
 
 
+@behave.given("it ends with {members}")
+def add_members(context, members):
+    """Add members that no host knows."""
+    context.page = context.page.rstrip(b"}") + f", {members}}}".encode()
+
+
 # Bytes that take the place of a field of an entry.
 FAULTS = {
     "with a control character": b'"\x01"',
