--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -183,6 +183,9 @@
   Scenario: No bytes of one entry hide others
     Then whatever bytes one entry of a page has, the others are read
 
+  Scenario: No bytes of three entries hide others that contain similar objects
+    Then whatever bytes three entries of a page have, the others are read
+
   Scenario: Entries that were cut hide no others
     Then wherever two entries of a page are cut, at either end, the others are read
 
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -562,6 +562,50 @@
     survive()
 
 
+# Objects in an entry that look like entries, or parts of them.
+SIMILAR = [
+    {"meta": {"name": "i-1", "rev": 1}},
+    {"meta": {"name": "i-2", "rev": 2}, "spec": {"a": ["x", {"b": 1}]}},
+    {"object": 1},
+]
+ENTRY_PARTS = [b"[", b"]", b"{", b"}", b'"', b"\\", b",", b":", b" ", b"1", b"null"]
+ENTRY_PARTS += [b'"a"', b'"spec":', b"}}", b"]}", b'{"meta":', b'"a":']
+ENTRY_PARTS += [b',{"meta":{"name":"x","rev":1}', b',{"deleted":false,"object":']
+
+
+@behave.then("whatever bytes three entries of a page have, the others are read")
+def check_three_entries(context):
+    """Put drawn parts into three entries, and similar objects into some."""
+    del context
+    names, _ = page_names(6)
+    content = strategies.lists(strategies.sampled_from(ENTRY_PARTS), max_size=8)
+
+    @hypothesis.example(
+        "listing",
+        [
+            b",\\{ ",
+            b'{ {"a":[ :,{"deleted":false,"object":',
+            b'}{}]},{"meta":{"name":"x","rev":1}',
+        ],
+        [4, 1, 3, 0, 2, 5],
+    )
+    @hypothesis.given(
+        strategies.sampled_from(PAGES),
+        strategies.lists(content.map(b"".join), min_size=3, max_size=3),
+        strategies.permutations(range(6)),
+    )
+    def survive(page, contents, order):
+        items = [stored_entry(number, entry(9)) for number in range(1, 7)]
+        items[5]["spec"]["similar"] = items[3]["spec"]["similar"] = SIMILAR
+        for index, odd in zip(order, contents, strict=False):
+            items[index]["spec"] = fleetstore.RawJson(odd)
+        others = {items[index]["meta"]["name"] for index in order[3:]}
+        found, _ = read_targets(*encode_items(page, items))
+        assert others <= found <= names, (others - found, found - names)
+
+    survive()
+
+
 @behave.then(
     "wherever two entries of a page are cut, at either end, the others are read"
 )
