--- a/lab/soakfaults.py
+++ b/lab/soakfaults.py
@@ -9,6 +9,7 @@
 import contextlib
 import functools
 import json
+import random
 import signal
 import threading
 import time
@@ -36,6 +37,8 @@
 DEPTH = 100_000
 ODD_ID = 0xDD00_0000
 ODD_NAMES = ["i-", "no", "i-" + 17 * "1"]  # No ids.
+TORN_NAME = "i-dddddddd"
+TORN_BYTES = 100_000
 
 
 def register(fault: Fault) -> Fault:
@@ -249,12 +252,18 @@
     entry = fleetstore.target_entry(soak.trap.getsockname(), "d1")
     odd = odd_entries(entry)
     name = f"i-{ODD_ID + len(soak.evidence.faults):08x}"
+    torn = torn_entries(entry)
+    # A generator of its own, so that a seed still plays what it did without these.
+    torn_rng = random.Random(name)
     for kind in soak.rng.sample(list(odd), 2):
         soak.evidence.faults.append(f"{name} {kind}")
         soak.store.put("servers", name, odd[kind])
         soak.store.put("servers", soak.rng.choice(ODD_NAMES), entry)
+        torn_kind = torn_rng.choice(list(torn))
+        soak.evidence.faults.append(f"{TORN_NAME} {torn_kind}")
+        soak.store.put("servers", TORN_NAME, torn[torn_kind])
         time.sleep(span_s / 2)
-    for found in (name, *ODD_NAMES):
+    for found in (name, TORN_NAME, *ODD_NAMES):
         soak.store.remove("servers", found)
 
 
@@ -277,6 +286,22 @@
     }
 
 
+def torn_entries(entry: fleetstore.Json) -> dict[str, fleetstore.RawJson]:
+    """Return entries of which a part is missing, some of them padded."""
+    text = json.dumps(entry).encode()
+    middle = len(text) // 2
+    hidden = b'\\,{"deleted":"\\",{"deleted":'
+    return {
+        "torn": fleetstore.RawJson(text[:middle]),
+        "torn in a string": fleetstore.RawJson(text[: text.index(b"desk") + 2]),
+        "without its begin": fleetstore.RawJson(text[middle:]),
+        "padded with blanks": fleetstore.RawJson(text[:middle] + b" " * TORN_BYTES),
+        "padded with events": fleetstore.RawJson(
+            text[:middle] + hidden * (TORN_BYTES // len(hidden))
+        ),
+    }
+
+
 def disturb_hosts(soak: "fleetsoak.Soak", span_s: float) -> None:
     """Let something happen to hosts beside writes and planned work; not registered.
 
