Rename steps that took the place of those of another feature

"the first target announces that it leaves" of the scenario about pins also matches "the first target {change}" of features/store_return.feature, which is read later. With names of their own, 5 of 5 and 88 of 88 scenarios of the two features pass.

--- a/features/fleet_forwarding.feature
+++ b/features/fleet_forwarding.feature
@@ -142,11 +142,11 @@
   Scenario: A pin of a leaving target opens no flows that its exit would break
     Given a forwarder with 2 targets
     When the first target has the override pin
-    And the first target announces that it leaves
+    And an entry of the first target says that it leaves
     And 20 flows open
     Then the first target gets no flow
     And the log of overrides has override_suspended once
-    When the first target starts again under its name
+    When an entry of the first target shows another run
     And 60 flows open
     Then the first target gets flows
     And the log of overrides has override_in_force twice
--- a/features/steps/fleet_forwarding_steps.py
+++ b/features/steps/fleet_forwarding_steps.py
@@ -832,13 +832,13 @@
         view.remove_override("o1")
 
 
-@behave.when("the first target announces that it leaves")
+@behave.when("an entry of the first target says that it leaves")
 def announce_departure(context):
     """Apply its report."""
     assert context.fleet.view.apply_target(target(1, leaving=True), at_revision(50))
 
 
-@behave.when("the first target starts again under its name")
+@behave.when("an entry of the first target shows another run")
 def start_again(context):
     """Apply the first report of another run."""
     assert context.fleet.view.apply_target(target(1, born=2), at_revision(60))
