--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -42,7 +42,7 @@
 OPEN_LIMIT_S = 1.4
 FIRST_REPEAT_S, LAST_REPEAT_S = 0.2, 1.6
 PROBE_S = 0.5
-LINK_CHUNK_BYTES = 4_096
+LINK_CHUNK_BYTES = 1_448  # The data of one packet.
 LINK_BUFFER_BYTES = 16_384  # Links have small windows.
 
 
@@ -77,6 +77,7 @@
         self.history = []  # Time, revision, kind, object, and whether it was removed.
         self.states = [(0.0, 100, {})]  # Earlier states, for stale answers.
         self.stale_s = 0.0
+        self.page_items = PAGE_ITEMS
         self.calls = collections.Counter()
         store = self
 
@@ -150,7 +151,7 @@
             for name in names:
                 item = encode_object(found[name])
                 if items and (
-                    len(items) >= PAGE_ITEMS or size + len(item) > PAGE_BYTES
+                    len(items) >= self.page_items or size + len(item) > PAGE_BYTES
                 ):
                     break
                 items.append(item)
