--- a/review/7/case.py
+++ b/review/7/case.py
@@ -99,4 +99,4 @@
 
 
 if __name__ == "__main__":
-    rig_2.finish(main())
+    rig_2.run(main)
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -25,6 +25,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 import zlib
 
@@ -914,7 +915,13 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def finish(status):
-    """End the case at once, with its threads."""
+def run(main):
+    """Play a case and exit with its status, 2 if it could not run."""
+    status = 2
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
     sys.stdout.flush()
-    os._exit(status)
+    sys.stderr.flush()
+    os._exit(status)  # Also ends the threads.
